--- a/plumthread/wirehost.py
+++ b/myrtlespar/simhost.py
@@ -1,6 +1,6 @@
 """The adapter: reads batches of wire JSON, keeps one policy per instance, writes its actions.
 
-It translates and nothing else; what to do is decided in policy.py.
+It translates and nothing else; what to do is decided in decide.py.
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from plumthread import interface as api
-from plumthread.policy import Policy
+from myrtlespar import interface as api
+from myrtlespar.decide import Policy
 
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 SIGNALS = {"floor": api.Signal.LEVEL, "allowance": api.Signal.CREDIT, "weight": api.Signal.WEIGHT}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from plumthread import interface as api
-from plumthread.policy import Policy
+from myrtlespar import interface as api
+from myrtlespar.decide import Policy
 
 SAFE = api.RequestClass(aim_ms=2000, give_up_ms=6000, calls=True, skip_worth=0.5)
 COSTLY = api.RequestClass(aim_ms=2000, give_up_ms=6000, worth=0.2)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,7 +1,7 @@
 """The mechanism of the design, part by part."""
 
-from plumthread import interface as api
-from plumthread.interface import Outcome
+from myrtlespar import interface as api
+from myrtlespar.interface import Outcome
 from tests.helpers import Server, answers
 
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -9,18 +9,18 @@
 
 
 def test_policy_is_short_enough_to_read_aloud() -> None:
-    lines = (ROOT / "plumthread" / "policy.py").read_text().splitlines()
+    lines = (ROOT / "myrtlespar" / "decide.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 710
 
 
 def test_lines_are_short() -> None:
-    for path in sorted((ROOT / "plumthread").glob("*.py")):
+    for path in sorted((ROOT / "myrtlespar").glob("*.py")):
         for number, line in enumerate(path.read_text().splitlines(), start=1):
             assert len(line) <= 110, f"{path.name}:{number}"
 
 
 def test_policy_names_its_interface_first() -> None:
-    assert "plumthread/interface.py" in (ROOT / "plumthread" / "policy.py").read_text().split('"""')[1]
+    assert "myrtlespar/interface.py" in (ROOT / "myrtlespar" / "decide.py").read_text().split('"""')[1]
 
 
 def test_readme_example_runs_as_printed() -> None:
