--- /dev/null
+++ b/myrtlespar/__main__.py
@@ -0,0 +1,86 @@
+"""The real tile server: wiring and signals only."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+
+import gevent
+import structlog
+
+from myrtlespar.config import Config, ConfigError, load
+from myrtlespar.core import Core, unix_ms
+from myrtlespar.counters import Counters
+from myrtlespar.net.kernel import Kernel
+from myrtlespar.net.roster import Roster
+from myrtlespar.net.store import Store
+from myrtlespar.net.thrift import ThriftFront
+
+log = structlog.get_logger()
+FLUSH_S = 0.3  # at most, to send the last answers before the exit
+
+
+def serve(config: Config) -> None:
+    """Wire the parts, run until a notice to drain is carried out."""
+    counters = Counters()
+    core = Core(config.settings, config.seed, config.limits, counters)
+    kernel, store = Kernel(config, core), Store(config, core)
+    core.engines[""], core.gauges, core.dependency = kernel, kernel, store
+    front = ThriftFront(config, core)
+
+    def close_idle(after_ms: float) -> None:
+        front.idle_ms = after_ms
+
+    def drain() -> None:
+        if not core.draining:
+            log.info("draining")
+            core.drain()
+            front.drain()
+
+    core.close_idle = close_idle
+    gevent.signal_handler(signal.SIGTERM, drain)
+    gevent.signal_handler(signal.SIGINT, drain)
+    gevent.signal_handler(signal.SIGUSR1, lambda: log.info("counters", **counters.report()))
+    front.start()
+    turns = gevent.spawn(core.run)
+    for part in (kernel, store, Roster(config, core, kernel)):
+        gevent.spawn(part.serve)
+    log.info("serving", name=config.name, port=front.port)
+    gc.freeze()
+    while not (core.draining and _drained(core)):
+        if turns.ready():  # guards against a server that listens on with nobody to decide
+            turns.get()
+        gevent.sleep(0.02)
+    front.stop()
+    while core.owed and unix_ms() < core.kill_at:  # what was read while the listener closed
+        gevent.sleep(0.01)
+    front.finish(FLUSH_S)
+    core.stop()
+    log.info("counters", **counters.report())
+
+
+def _drained(core: Core) -> bool:
+    """All is answered and nothing that comes now may run, or the kill is near."""
+    now = unix_ms()
+    grace_over = now > core.kill_at - core.limits.stop_ms + core.settings.drain_grace_ms
+    return (grace_over and not core.owed) or now > core.kill_at - 2 * FLUSH_S * 1000.0
+
+
+def main() -> int:
+    """Run until drained."""
+    structlog.configure(processors=[
+        structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
+        structlog.processors.format_exc_info, structlog.processors.JSONRenderer()])
+    gevent.config.resolver = "block"  # there is no DNS; addresses are numbers and need no thread
+    try:
+        config = load()
+    except ConfigError as error:
+        print(error, file=sys.stderr)
+        return 2
+    serve(config)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/myrtlespar/config.py
@@ -0,0 +1,247 @@
+"""The one place where environment, JSON and the operator's file are read, checked and given defaults."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+from myrtlespar import interface as api
+from myrtlespar.limits import Limits
+from myrtlespar.settings import MissingSetting, read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """One line that names the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class PathRule:
+    """What requests below one path are: their class, rank by worth, memory, and who runs them."""
+
+    path: str
+    cls: int
+    worth: float = 0.5
+    kb: float = 20.0
+    to: str = ""  # a worker or balancer; empty is the kernel
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """One AJP server."""
+
+    name: str
+    address: Address
+    factor: float = 1.0
+    route: str = ""
+    secret: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ajp:
+    """The operator's AJP front and workers."""
+
+    listen: Address | None = None
+    secret: str = ""
+    route: str = ""
+    key_header: str = ""
+    maps: tuple[PathRule, ...] = ()
+    workers: tuple[Worker, ...] = ()
+    balancers: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the program is told."""
+
+    name: str
+    listen: Address
+    kernel: Address
+    store: Address
+    roster: Address
+    seed: int
+    settings: api.Settings
+    class_names: tuple[str, ...]
+    limits: Limits
+    thrift_key: str = ""  # the field of a Thrift request that holds an idempotency key
+    ajp: Ajp = field(default_factory=Ajp)
+
+
+def parse_address(text: Any, key: str) -> Address:
+    """host:port."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: expected HOST:PORT, got {text!r}")
+    return host.strip("[]"), int(port)
+
+
+class Table:
+    """A JSON or TOML table that names its own path in every complaint."""
+
+    def __init__(self, rows: Any, path: str) -> None:
+        if not isinstance(rows, dict):
+            raise ConfigError(f"{path or 'the file'}: expected a table, got {rows!r}"[:200])
+        self.rows, self.path = rows, path
+        self.read: set[str] = set()
+
+    def key(self, name: str) -> str:
+        """The full name of a key."""
+        return f"{self.path}.{name}" if self.path else name
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """A text value."""
+        value = self._get(name, default)
+        if not isinstance(value, str):
+            raise ConfigError(f"{self.key(name)}: expected a text, got {value!r}")
+        return value
+
+    def number(self, name: str, default: float | None, low: float, high: float) -> float:
+        """A number from low to high."""
+        value = self._get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value <= high:
+            raise ConfigError(f"{self.key(name)}: expected a number from {low:g} to {high:g}, got {value!r}")
+        return float(value)
+
+    def address(self, name: str) -> Address:
+        """host:port."""
+        return parse_address(self._get(name, None), self.key(name))
+
+    def table(self, name: str) -> Table:
+        """A table, empty if absent."""
+        return Table(self._get(name, {}), self.key(name))
+
+    def tables(self, name: str) -> list[Table]:
+        """A list of tables, empty if absent."""
+        rows = self._get(name, [])
+        if not isinstance(rows, list):
+            raise ConfigError(f"{self.key(name)}: expected a list of tables, got {rows!r}"[:200])
+        return [Table(row, f"{self.key(name)}[{n}]") for n, row in enumerate(rows)]
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """A list of texts."""
+        rows = self._get(name, [])
+        if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
+            raise ConfigError(f"{self.key(name)}: expected a list of texts, got {rows!r}"[:200])
+        return tuple(rows)
+
+    def done(self) -> None:
+        """Guards against misspelt keys, which would otherwise be defaults in silence."""
+        for name in self.rows:
+            if name not in self.read:
+                raise ConfigError(f"{self.key(name)}: unknown key")
+
+    def _get(self, name: str, default: Any) -> Any:
+        self.read.add(name)
+        value = self.rows.get(name, default)
+        if value is None:
+            raise ConfigError(f"{self.key(name)}: missing")
+        return value
+
+
+def load(env: Mapping[str, str] = os.environ) -> Config:
+    """Read everything the program is told."""
+    path = env.get("BALANCER_CONFIG", "")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: missing")
+    rows = Table(_json(path), "")
+    try:
+        settings = read_settings(rows.table("settings").rows)
+    except MissingSetting as error:
+        raise ConfigError(str(error).replace("missing setting ", "settings.") + ": missing") from None
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"settings: {type(error).__name__}: {error}") from None
+    names = tuple(str(row.get("name", n)) for n, row in enumerate(rows.rows["settings"]["classes"]))
+    for n, row in enumerate(settings.classes):
+        if row.effect is api.Effect.KEYED:  # guards against running repeats that only a table of keys catches
+            raise ConfigError(f"settings.classes[{n}].effect: 'guarded' classes are not served on sockets")
+    own = rows.table("limits")
+    memory = own.number("memory_mb", 192, 48, 1e6)
+    sockets = own.number("sockets", 1024, 64, 1e6)
+    limits = replace(Limits(), memory_mb=int(memory), descriptors=int(sockets),
+                     connections=int(sockets) - 48, stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
+    listen = env.get("BALANCER_LISTEN", "")
+    seed = rows.text("seed", "0")
+    if not re.fullmatch(r"[0-9a-fA-F]{1,32}", seed):
+        raise ConfigError(f"seed: expected hex digits, got {seed!r}")
+    config = Config(
+        name=env.get("BALANCER_NAME") or rows.text("name"),
+        listen=parse_address(listen, "BALANCER_LISTEN") if listen else rows.address("listen"),
+        kernel=rows.address("kernel"), store=rows.address("store"), roster=rows.address("roster"),
+        seed=int(seed, 16), settings=settings, class_names=names, limits=limits,
+    )
+    operator = env.get("MYRTLESPAR_OPERATOR", "")
+    return _operator(config, Table(_toml(operator), "")) if operator else config
+
+
+def _read(path: str, key: str) -> bytes:
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"{key}: cannot read {path}: {error.strerror}") from None
+
+
+def _json(path: str) -> Any:
+    try:
+        return json.loads(_read(path, "BALANCER_CONFIG"))
+    except ValueError as error:
+        raise ConfigError(f"BALANCER_CONFIG: not JSON: {error}") from None
+
+
+def _toml(path: str) -> Any:
+    try:
+        return tomllib.loads(_read(path, "MYRTLESPAR_OPERATOR").decode())
+    except ValueError as error:
+        raise ConfigError(f"MYRTLESPAR_OPERATOR: not TOML: {error}") from None
+
+
+def _operator(config: Config, rows: Table) -> Config:
+    """The operator's file: the AJP front, its path mapping, AJP workers, and idempotency keys."""
+    keys, ajp = rows.table("idempotency"), rows.table("ajp")
+    limits = replace(config.limits, key_ms=keys.number("remember_ms", config.limits.key_ms, 1, 1e8),
+                     keys=int(keys.number("most", config.limits.keys, 1, 1e6)))
+    thrift_key, key_header = keys.text("thrift_field", ""), keys.text("ajp_header", "").lower()
+    keys.done()
+    workers = tuple(_worker(row) for row in rows.tables("worker"))
+    balancers = {row.text("name"): row.texts("members") for row in rows.tables("balancer")}
+    names = {worker.name for worker in workers}
+    for name, members in balancers.items():
+        for member in members:
+            if member not in names:
+                raise ConfigError(f"balancer {name}.members: no worker named {member!r}")
+    known = names | set(balancers) | {""}
+    maps = tuple(_map(row, config.class_names, known) for row in ajp.tables("map"))
+    listen = ajp.address("listen") if "listen" in ajp.rows else None
+    done = replace(config, limits=limits, thrift_key=thrift_key, ajp=Ajp(
+        listen, ajp.text("secret", ""), ajp.text("route", ""), key_header, maps, workers, balancers))
+    ajp.done()
+    rows.done()
+    return done
+
+
+def _map(row: Table, classes: tuple[str, ...], known: set[str]) -> PathRule:
+    path, name, to = row.text("path"), row.text("class"), row.text("to", "")
+    if not path.startswith("/"):
+        raise ConfigError(f"{row.key('path')}: expected a path from '/', got {path!r}")
+    if name not in classes:
+        raise ConfigError(f"{row.key('class')}: no class named {name!r} in settings.classes")
+    if to not in known:
+        raise ConfigError(f"{row.key('to')}: no worker or balancer named {to!r}")
+    done = PathRule(path, classes.index(name), row.number("worth", 0.5, 0, 0.999999),
+                    row.number("memory_kb", 20, 0.001, 2000), to)
+    row.done()
+    return done
+
+
+def _worker(row: Table) -> Worker:
+    name = row.text("name")
+    done = Worker(name, row.address("address"), row.number("factor", 1, 0.001, 1000),
+                  row.text("route", name), row.text("secret", ""))
+    row.done()
+    return done
--- /dev/null
+++ b/myrtlespar/exchange.py
@@ -0,0 +1,62 @@
+"""The meeting place of one request's client side and server side."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+class Kind(enum.Enum):
+    """The three final answers, and a caller that no longer waits for one."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A final answer. `status` and `headers` are set only by servers whose answers carry them."""
+
+    kind: Kind
+    body: bytes = b""
+    retry_after_ms: float = 0.0
+    last: bool = False
+    late: bool = False
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Exchange:
+    """One request: what it asks for, when it arrived, and its one settable final answer."""
+
+    __slots__ = ("again", "answer", "arrived", "body", "call_body", "cls", "deliver", "doubt", "due",
+                 "followers", "front", "headers", "id", "kb", "key", "method", "query", "rank", "route",
+                 "sender", "started", "target", "uri")
+
+    def __init__(self, id: str, front: str, cls: int, body: bytes, arrived: float,
+                 deliver: Callable[[Exchange, Answer], None]) -> None:
+        self.id, self.front, self.cls, self.body, self.arrived = id, front, cls, body, arrived
+        self.deliver = deliver
+        self.kb, self.rank, self.sender, self.again = 1.0, 0.0, 0, False
+        self.due = 0.0  # set by the core from the class
+        self.key = ""  # idempotency key, where the front supplies one
+        self.target = ""  # the back end that runs it; empty is the kernel
+        self.method, self.uri, self.query, self.route = "POST", "", "", ""
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.call_body = b""  # what the run asks of the store at the moment
+        self.answer: Answer | None = None
+        self.started = False
+        self.doubt = False  # the order to start may have been lost with a link
+        self.followers: list[Exchange] = []  # repeats that wait for this one's outcome
+
+    def settle(self, answer: Answer) -> bool:
+        """Take the first final answer and hand it to the client side; later ones change nothing."""
+        if self.answer is not None:
+            return False
+        self.answer = answer
+        if answer.kind is not Kind.GONE:
+            self.deliver(self, answer)
+        return True
--- /dev/null
+++ b/myrtlespar/limits.py
@@ -0,0 +1,45 @@
+"""Every limit of the real tile server (sizes, counts, times) in one value, handed down at start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Sizes in bytes, times in milliseconds; the starting values fit the platform's page."""
+
+    memory_mb: int = 192
+    descriptors: int = 1024
+    stop_ms: float = 3000.0  # from the notice to drain to the kill
+
+    body_bytes: int = 2048  # of a request
+    result_bytes: int = 4096  # of an answer
+    frame_bytes: int = 65536  # of one message on any link; more closes the connection
+    connections: int = 900  # clients' connections at a time, over all fronts
+    open_requests: int = 32  # on one connection
+    outbox_messages: int = 256  # unsent answers of one client's connection; more means it does not read
+    kernel_outbox: int = 8192  # unsent commands to the kernel
+    send_ms: float = 5000.0  # one client may block a send for so long
+
+    connect_ms: float = 1000.0
+    reconnect_ms: float = 50.0  # between tries to reach the kernel
+    kernel_silence_ms: float = 3000.0  # gauges unanswered for so long: the link is taken for dead
+    gauge_lead_ms: float = 4.0  # gauges are asked for so long before a tick
+    gauge_age_ms: float = 500.0  # older gauges are not passed on
+    store_idle_ms: float = 7000.0  # the store closes after 10 s; we go first
+    store_grace_ms: float = 60.0  # past a call's time until it is taken for timed out
+    report_every_ms: float = 1000.0  # to the roster; it forgets after 3 s
+    report_ms: float = 900.0  # one report may take so long
+
+    overdue_ms: float = 60.0  # past its due time a request still open is failed, whatever else was decided
+    doubt_ms: float = 1000.0  # an answered run that may never have started gives its place back after this
+    keys: int = 4096  # idempotency keys remembered
+    key_ms: float = 60000.0  # for so long after the last try
+    followers: int = 8  # repeats waiting for one run
+
+    ajp_packet: int = 8192
+    ajp_header_ms: float = 10000.0  # to finish a request that has begun
+    ajp_reply_bytes: int = 262144  # of a worker's answer
+    worker_idle: int = 8  # idle connections kept to one AJP worker
+    worker_rest_ms: float = 2000.0  # an unreachable worker is left out for so long
--- /dev/null
+++ b/myrtlespar/net/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts and back ends: everything that knows a wire."""
--- /dev/null
+++ b/myrtlespar/net/links.py
@@ -0,0 +1,131 @@
+"""What all stream links share: a bounded outbox with a writer of its own, and whole reads."""
+
+from __future__ import annotations
+
+import gevent
+from gevent import socket
+from gevent.queue import Full, Queue
+
+from myrtlespar.config import Address
+
+
+class Closed(Exception):
+    """The other side closed, or sent what can't be read."""
+
+
+class Outbox:
+    """Messages for one socket, sent in order by one greenlet; `put` never blocks."""
+
+    def __init__(self, sock: socket.socket, size: int, send_ms: float) -> None:
+        self._sock, self._send_s = sock, send_ms / 1000.0
+        self._queue: Queue[bytes | None] = Queue(maxsize=size)
+        self.closed = self.ending = False
+        self._writer = gevent.spawn(self._write)
+
+    def put(self, data: bytes) -> bool:
+        """Send this when its turn comes. False: the link is closed, or its peer does not read."""
+        if self.closed or self.ending:
+            return False
+        try:
+            self._queue.put_nowait(data)
+        except Full:  # guards against a peer that stops reading: its answers may not fill our memory
+            self.close()
+            return False
+        return True
+
+    def finish(self) -> None:
+        """Close once all is sent."""
+        if not self.ending and not self.closed:
+            self.ending = True
+            try:
+                self._queue.put_nowait(None)
+            except Full:
+                self.close()
+
+    def close(self) -> None:
+        """Close at once; the reader of the socket sees its end."""
+        if not self.closed:
+            self.closed = True
+            try:
+                self._sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            self._writer.kill(block=False)
+
+    def drained(self, timeout: float) -> None:
+        """Wait until all is sent."""
+        self._writer.join(timeout)
+
+    def _write(self) -> None:
+        try:
+            while (data := self._queue.get()) is not None:
+                while not self._queue.empty() and len(data) < 65536:  # one send for what waits already
+                    more = self._queue.get()
+                    if more is None:
+                        self._send(data)
+                        return self.close()
+                    data += more
+                self._send(data)
+        except OSError:
+            pass
+        self.close()
+
+    def _send(self, data: bytes) -> None:
+        self._sock.settimeout(self._send_s)  # guards against a peer that keeps its window shut
+        self._sock.sendall(data)
+
+
+def connect(address: Address, timeout_ms: float) -> socket.socket:
+    """A connected TCP socket without delays."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(timeout_ms / 1000.0)
+        sock.connect(address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(None)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Reader:
+    """Exact reads and lines from a socket; the write side's timeout does not bind it."""
+
+    def __init__(self, sock: socket.socket, most: int) -> None:
+        self._sock, self._most = sock, most
+        self._data = bytearray()
+
+    def exactly(self, size: int) -> bytes:
+        """So many bytes."""
+        while len(self._data) < size:
+            self._more()
+        out = bytes(self._data[:size])
+        del self._data[:size]
+        return out
+
+    def line(self) -> bytes:
+        """Up to and without LF."""
+        start = 0
+        while (end := self._data.find(b"\n", start)) < 0:
+            start = len(self._data)
+            if start > self._most:  # guards against a line without end
+                raise Closed("line too long")
+            self._more()
+        out = bytes(self._data[:end])
+        del self._data[:end + 1]
+        return out
+
+    def _more(self) -> None:
+        while True:
+            try:
+                data = self._sock.recv(65536)
+                break
+            except TimeoutError:  # the writer's time limit, not ours
+                continue
+            except OSError as error:
+                raise Closed(str(error)) from None
+        if not data:
+            raise Closed("end of stream")
+        self._data += data
