--- a/myrtlespar/__main__.py
+++ b/myrtlespar/__main__.py
@@ -12,12 +12,15 @@
 from myrtlespar.config import Config, ConfigError, load
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.counters import Counters
+from myrtlespar.net.ajp import AjpFront
 from myrtlespar.net.kernel import Kernel
 from myrtlespar.net.roster import Roster
 from myrtlespar.net.store import Store
 from myrtlespar.net.thrift import ThriftFront
+from myrtlespar.net.workers import engines
 
 log = structlog.get_logger()
+CROSSING_S = 0.05  # a request sent as a connection closes may still be on its way for so long
 FLUSH_S = 0.3  # at most, to send the last answers before the exit
 
 
@@ -27,35 +30,44 @@
     core = Core(config.settings, config.seed, config.limits, counters)
     kernel, store = Kernel(config, core), Store(config, core)
     core.engines[""], core.gauges, core.dependency = kernel, kernel, store
-    front = ThriftFront(config, core)
+    core.engines.update(engines(config, core))
+    thrift = ThriftFront(config, core)
+    fronts: list[ThriftFront | AjpFront] = [thrift]
+    if config.ajp.listen:
+        fronts.append(AjpFront(config, core, config.ajp.listen))
 
     def close_idle(after_ms: float) -> None:
-        front.idle_ms = after_ms
+        thrift.idle_ms = after_ms
 
     def drain() -> None:
         if not core.draining:
             log.info("draining")
             core.drain()
-            front.drain()
+            for front in fronts:
+                front.drain()
 
     core.close_idle = close_idle
     gevent.signal_handler(signal.SIGTERM, drain)
     gevent.signal_handler(signal.SIGINT, drain)
     gevent.signal_handler(signal.SIGUSR1, lambda: log.info("counters", **counters.report()))
-    front.start()
+    for front in fronts:
+        front.start()
     turns = gevent.spawn(core.run)
     for part in (kernel, store, Roster(config, core, kernel)):
         gevent.spawn(part.serve)
-    log.info("serving", name=config.name, port=front.port)
+    log.info("serving", name=config.name, ports=[front.port for front in fronts])
     gc.freeze()
     while not (core.draining and _drained(core)):
         if turns.ready():  # guards against a server that listens on with nobody to decide
             turns.get()
         gevent.sleep(0.02)
-    front.stop()
+    for front in fronts:
+        front.stop()
+        front.drain()  # connections opened since the notice
+    gevent.sleep(CROSSING_S)
     while core.owed and unix_ms() < core.kill_at:  # what was read while the listener closed
         gevent.sleep(0.01)
-    front.finish(FLUSH_S)
+    gevent.joinall([gevent.spawn(front.finish, FLUSH_S) for front in fronts], FLUSH_S)
     core.stop()
     log.info("counters", **counters.report())
 
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -115,13 +115,12 @@
         self._post(api.CallerGone(exchange.id))
 
     def ended(self, id: str, outcome: Outcome, elapsed_ms: float, answer: Answer | None = None) -> None:
-        """A run is over; `answer` is its result, if it made one."""
+        """A run is over; `answer` is its result, or how it failed."""
         exchange = self.open.get(id)
         if exchange is None or not exchange.started:
             return
         del self.open[id]
-        good = outcome is Outcome.OK and answer is not None
-        final = answer if good and answer else Answer(Kind.FAILED)
+        final = answer or Answer(Kind.FAILED)
         self._settle(exchange, final)
         self._conclude(exchange, final)
         self._post(api.RunEnded(id, outcome, elapsed_ms))
@@ -315,7 +314,7 @@
             return
         waiting = [one for one in exchange.followers if one.answer is None]
         exchange.followers = []
-        if exchange.started:
+        if exchange.started and outcome.kind is not Kind.REFUSED:
             known.outcome = outcome
             self._expiry.append((unix_ms() + self.limits.key_ms, slot))
         else:
--- /dev/null
+++ b/myrtlespar/net/ajp.py
@@ -0,0 +1,240 @@
+"""The AJP13 front: gateways (Apache's mod_proxy_ajp, mod_jk) send requests for the core."""
+
+from __future__ import annotations
+
+import math
+import random
+import re
+import zlib
+from hmac import compare_digest
+from typing import Any
+
+import gevent
+import structlog
+from gevent import socket
+from gevent.server import StreamServer
+
+from myrtlespar.config import Address, Config, PathRule
+from myrtlespar.core import Core, unix_ms
+from myrtlespar.exchange import Answer, Exchange, Kind
+from myrtlespar.net import ajpwire as wire
+from myrtlespar.net.links import Closed, Outbox, Reader
+
+log = structlog.get_logger()
+SESSION = re.compile(r"jsessionid=[^;,\s]*?\.([A-Za-z0-9_-]+)(?:$|[;,\s?/])", re.I)
+HOP_HEADERS = ("connection", "transfer-encoding", "content-length", "keep-alive")
+
+
+def session_route(request: wire.Forward) -> str:
+    """The route behind the dot of a session's id, from the path or a cookie."""
+    found = SESSION.search(request.uri) or SESSION.search(request.header("cookie"))
+    return found.group(1) if found else request.attributes.get("jvm_route", "")
+
+
+class AjpFront:
+    """Listens for gateways."""
+
+    def __init__(self, config: Config, core: Core, listen: Address) -> None:
+        self.config, self.core, self.limits, self.ajp = config, core, config.limits, config.ajp
+        self.rules = sorted(config.ajp.maps, key=lambda rule: -len(rule.path))
+        self.ids = random.Random(config.seed)
+        self.links: set[Link] = set()
+        self._server = StreamServer(listen, self._serve, backlog=512)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    @property
+    def port(self) -> int:
+        """The port in use."""
+        return int(self._server.server_port)
+
+    def drain(self) -> None:
+        """Close what carries nothing; the rest closes with its answer."""
+        for link in list(self.links):
+            if link.state == IDLE:
+                link.outbox.finish()
+
+    def stop(self) -> None:
+        """Accept no more."""
+        self._server.close()
+
+    def finish(self, timeout: float) -> None:
+        """Send what is queued, then close all connections."""
+        for link in list(self.links):
+            link.outbox.finish()
+        gevent.joinall([gevent.spawn(link.outbox.drained, timeout) for link in list(self.links)], timeout)
+
+    def rule(self, uri: str) -> PathRule | None:
+        """The rule with the longest path that holds this one; `/a` holds `/a` and `/a/b`, not `/ab`."""
+        path = uri.split(";", 1)[0].split("?", 1)[0]
+        for rule in self.rules:
+            if path == rule.path or path.startswith(rule.path.rstrip("/") + "/"):
+                return rule
+        return None
+
+    def _serve(self, sock: socket.socket, peer: Any) -> None:
+        if len(self.links) >= self.limits.connections // 4:  # guards the platform's front against ours
+            self.core.counters.add("in.connection_refused.ajp")
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = Link(self, sock)
+        self.links.add(link)
+        self.core.counters.add("in.connection.ajp")
+        try:
+            link.read()
+        finally:
+            self.links.discard(link)
+
+
+IDLE, READING, OPEN = range(3)
+
+
+class Link:
+    """One gateway's connection: one request at a time."""
+
+    def __init__(self, front: AjpFront, sock: socket.socket) -> None:
+        self.front, self.core, self.limits = front, front.core, front.limits
+        self.outbox = Outbox(sock, front.limits.outbox_messages, front.limits.send_ms)
+        self.reader = Reader(sock, front.limits.ajp_packet)
+        self.state = IDLE
+        self.exchange: Exchange | None = None
+        self.request = wire.Forward()
+
+    def read(self) -> None:
+        """Take packets until the connection ends; whoever still waits then is gone."""
+        try:
+            while not self.outbox.ending:
+                self._packet(self._next())
+        except Closed:
+            pass
+        except wire.BadPacket as error:
+            self.core.counters.add("in.bad_message.ajp")
+            log.warning("bad packet", error=str(error))
+            if self.state == READING:
+                self._reply(400)
+            self.outbox.finish()
+        except gevent.Timeout:  # guards against a gateway that begins a request and never ends it
+            self.core.counters.add("in.slow_request.ajp")
+        if self.outbox.ending:
+            self.outbox.drained(self.limits.send_ms / 1000.0)
+        self.outbox.close()
+        if self.exchange is not None:
+            self.core.gone(self.exchange)
+
+    def _next(self) -> bytes:
+        magic = self.reader.exactly(4)
+        size = int.from_bytes(magic[2:], "big")
+        if magic[:2] != wire.TO_SERVLET or size + 4 > self.limits.ajp_packet:
+            raise wire.BadPacket(f"packet starts with {magic.hex()}")
+        return self.reader.exactly(size)
+
+    def _packet(self, payload: bytes) -> None:
+        kind = payload[0] if payload else 0
+        if kind == wire.CPING and len(payload) == 1:
+            return self._ping()
+        if kind in (wire.SHUTDOWN, wire.PING) and len(payload) == 1:
+            self.core.counters.add("in.ignored.ajp")  # guards against anyone who could stop us from afar
+            return
+        if kind != wire.FORWARD or self.state != IDLE:
+            raise wire.BadPacket(f"packet of kind {kind} out of place")
+        self.state, self.request = READING, wire.Forward()
+        with gevent.Timeout(self.limits.ajp_header_ms / 1000.0):
+            self.request = wire.read_forward(payload)
+            if not self._allowed():
+                return
+            body = self._body()
+        if body is not None:
+            self._submit(body)
+
+    def _ping(self) -> None:
+        """Apache's ping, asked before a request: silence and an end send it to another server."""
+        self.core.counters.add("in.check.ajp")
+        if self.core.healthy and not self.core.draining:
+            self.outbox.put(wire.packet(wire.TO_GATEWAY, bytes([wire.CPONG])))
+        else:
+            self.outbox.finish()
+
+    def _allowed(self) -> bool:
+        secret = self.front.ajp.secret
+        if secret and not compare_digest(self.request.attributes.get("secret", "").encode(), secret.encode()):
+            self.core.counters.add("in.wrong_secret.ajp")
+            self._reply(403)
+            return False
+        if self.front.rule(self.request.uri) is None:
+            self._reply(404)
+            return False
+        return True
+
+    def _body(self) -> bytes | None:
+        """The whole body. Where its length is told, the first part comes unasked, others when asked for."""
+        told, most = self.request.header("content-length"), self.limits.body_bytes
+        chunked = "chunked" in self.request.header("transfer-encoding").lower()
+        if told and not (told.isascii() and told.isdigit()):
+            raise wire.BadPacket("content-length is no number")
+        want = int(told or 0)
+        if want > most:
+            self._reply(413)
+            return None
+        body, ask = b"", chunked
+        while chunked or len(body) < want:
+            if ask:
+                self.outbox.put(wire.get_body(wire.body_room(self.limits.ajp_packet)))
+            part = wire.read_chunk(self._next())
+            if not part:
+                break
+            body, ask = body + part, True
+            if len(body) > most:
+                self._reply(413)
+                return None
+        if len(body) != want and not chunked:
+            raise wire.BadPacket(f"body of {len(body)} bytes, {want} were told")
+        return body
+
+    def _submit(self, body: bytes) -> None:
+        request, front = self.request, self.front
+        rule = front.rule(request.uri)
+        assert rule
+        query = request.attributes.get("query_string", "")
+        if not body and not rule.to:  # a kernel gets one body: that of a bodiless request is what it asks for
+            body = (request.uri + (f"?{query}" if query else "")).encode("latin-1")
+            if len(body) > self.limits.body_bytes:
+                return self._reply(413)
+        id = f"{front.ids.getrandbits(64):016x}"
+        exchange = Exchange(id, "ajp", rule.cls, body, unix_ms(), self._answer)
+        exchange.kb, exchange.rank, exchange.target = rule.kb, rule.worth, rule.to
+        exchange.sender = zlib.crc32(request.remote_addr.encode())
+        exchange.method, exchange.uri, exchange.query = request.method, request.uri, query
+        exchange.headers = tuple(row for row in request.headers if row[0] not in HOP_HEADERS)
+        exchange.route = session_route(request)
+        if front.ajp.key_header:
+            exchange.key = request.header(front.ajp.key_header)[:200]
+        self.state, self.exchange = OPEN, exchange
+        front.core.submit(exchange)
+
+    def _answer(self, exchange: Exchange, answer: Answer) -> None:
+        self.exchange = None
+        if answer.status:
+            rows = tuple(row for row in answer.headers if row[0].lower() not in HOP_HEADERS)
+            self._reply(answer.status, answer.body, rows)
+        elif answer.kind is Kind.SERVED:
+            self._reply(200, answer.body, (("Content-Type", "application/octet-stream"),))
+        elif answer.kind is Kind.REFUSED:
+            seconds = max(1, math.ceil(answer.retry_after_ms / 1000.0))
+            self._reply(503, rows=(("Retry-After", str(seconds)),))
+        else:
+            self._reply(504 if answer.late else 500)
+
+    def _reply(self, status: int, body: bytes = b"", rows: wire.Headers = ()) -> None:
+        """A whole answer. After one to a request not read to its end, the connection can't go on."""
+        unread = self.request.header("content-length") or self.request.header("transfer-encoding")
+        reuse = not self.core.draining and (self.state == OPEN or not unread)
+        rows = (*rows, ("Content-Length", str(len(body))))
+        data = b"".join(wire.write_reply(status, rows, b"" if self.request.method == "HEAD" else body, reuse,
+                                         self.limits.ajp_packet))
+        self.core.counters.add(f"sent.{status}.ajp")
+        self.outbox.put(data)
+        self.state = IDLE
+        if not reuse:
+            self.outbox.finish()
--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -71,8 +71,8 @@
         self.close()
 
     def _send(self, data: bytes) -> None:
-        self._sock.settimeout(self._send_s)  # guards against a peer that keeps its window shut
-        self._sock.sendall(data)
+        with gevent.Timeout(self._send_s, TimeoutError):  # guards against a peer that keeps its window shut
+            self._sock.sendall(data)
 
 
 def connect(address: Address, timeout_ms: float) -> socket.socket:
@@ -84,14 +84,14 @@
         sock.connect(address)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
-    except OSError:
+    except BaseException:  # a caller's own time limit included
         sock.close()
         raise
     return sock
 
 
 class Reader:
-    """Exact reads and lines from a socket; the write side's timeout does not bind it."""
+    """Exact reads and lines from a socket."""
 
     def __init__(self, sock: socket.socket, most: int) -> None:
         self._sock, self._most = sock, most
@@ -118,14 +118,10 @@
         return out
 
     def _more(self) -> None:
-        while True:
-            try:
-                data = self._sock.recv(65536)
-                break
-            except TimeoutError:  # the writer's time limit, not ours
-                continue
-            except OSError as error:
-                raise Closed(str(error)) from None
+        try:
+            data = self._sock.recv(65536)
+        except OSError as error:
+            raise Closed(str(error)) from None
         if not data:
             raise Closed("end of stream")
         self._data += data
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -153,20 +153,15 @@
         except BadMessage as error:
             self.core.counters.add("in.bad_message.thrift")
             log.warning("bad message", error=str(error))
-            if self.open:  # guards against losing answers owed on a link that then turned bad
-                self.outbox.ending = False
-                gevent.spawn(self._close_when_answered)
-                return
+            while self.open and not self.outbox.closed:  # guards answers owed on a link that then turned bad
+                gevent.sleep(0.02)
+            self.outbox.finish()
+            self.outbox.drained(self.front.limits.send_ms / 1000.0)
         self.outbox.close()
         for exchange in list(self.open.values()):
             self.core.gone(exchange)
         self.open.clear()
 
-    def _close_when_answered(self) -> None:
-        while self.open and not self.outbox.closed:
-            gevent.sleep(0.02)
-        self.outbox.finish()
-
     def _frame(self, frame: bytes) -> None:
         self.used = unix_ms()
         name, kind, seq, args = decode(frame)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,237 @@
+"""The real program on sockets, as the platform's neighbours see it."""
+
+import json
+import os
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.standins import ROOT, Client, Store, Tile, exactly, settings, tile, until
+
+
+@pytest.fixture
+def server(tmp_path: Path) -> Iterator[Tile]:
+    with tile(tmp_path) as running:
+        yield running
+
+
+def test_body_calls_and_result_pass_byte_for_byte(server: Tile) -> None:
+    body = b"calls=2 " + bytes(range(256))
+    kind, answer = Client(server.ports[0]).ask("render", body)
+    assert (kind, answer.body, answer.good) == ("success", b"result of " + body, True)
+    assert 0 <= float(answer.fields["hint"]) <= 1
+    assert [call for _, call in server.store.calls] == [b"call %d of " % n + body for n in range(2)]
+    assert server.kernel.replies == [b"reply\r\nto call %d of " % n + body for n in range(2)]
+
+
+@pytest.mark.parametrize(("body", "kind"), [(b"end=FAIL", "failed"), (b"end=NOOP", "failed"),
+                                            (b"end=KILLED", "failed")])
+def test_ends_of_runs_become_answers(server: Tile, body: bytes, kind: str) -> None:
+    assert Client(server.ports[0]).ask("order", body)[0] == kind
+
+
+def test_answers_come_out_of_order_and_the_check_is_good(server: Tile) -> None:
+    client = Client(server.ports[0])
+    slow, fast = client.send("render", b"ms=400"), client.send("fetch", b"ms=1")
+    assert client.answer(fast)[0] == "success" and slow not in client.answers
+    assert client.answer(client.say("ping", full=True))[1].good
+    assert client.answer(slow)[0] == "success"
+
+
+@pytest.mark.parametrize(("method", "fields"), [
+    ("moon", {}), ("render", {"rid": ""}), ("render", {"rid": "a b"}), ("render", {"t0": "soon"}),
+    ("render", {"mem": "-1"}), ("render", {"t0": "nan"})])
+def test_bad_requests_get_an_exception_and_the_link_goes_on(server: Tile, method: str,
+                                                            fields: dict[str, str]) -> None:
+    client = Client(server.ports[0])
+    assert client.ask(method, **fields)[0] == "exception"
+    assert client.ask("fetch")[0] == "success"
+
+
+@pytest.mark.parametrize("data", [
+    struct.pack(">I", 1 << 31), struct.pack(">I", 0), struct.pack(">I", 8) + b"nonsense",
+    struct.pack(">I", 20) + b"\x80\x01\x00\x01" + struct.pack(">I", 1 << 30) + b"x" * 12])
+def test_bytes_that_are_no_message_close_only_their_link(server: Tile, data: bytes) -> None:
+    client = Client(server.ports[0])
+    open_one = client.send("render", b"ms=200")
+    until(lambda: server.kernel.starts)
+    client.sock.sendall(data)
+    assert client.answer(open_one)[0] == "success"
+    assert client.ended.wait(20)
+    assert Client(server.ports[0]).ask("fetch")[0] == "success"
+
+
+def test_unknown_method_is_named_and_33rd_open_request_is_refused(server: Tile) -> None:
+    sock = socket.create_connection(("127.0.0.1", server.ports[0]))
+    body = b"\x80\x01\x00\x01" + struct.pack(">I", 4) + b"moon" + struct.pack(">I", 7) + b"\0"
+    sock.sendall(struct.pack(">I", len(body)) + body)
+    reply = exactly(sock, struct.unpack(">I", exactly(sock, 4))[0])
+    assert reply[3] == 3 and b"unknown method" in reply
+    client = Client(server.ports[0])
+    seqs = [client.send("render", b"ms=300") for _ in range(33)]
+    assert client.answer(seqs[-1])[0] == "refused"
+
+
+def test_abort_frees_what_is_held_and_its_answer_is_not_needed(server: Tile) -> None:
+    client = Client(server.ports[0])
+    running = [client.send("render", b"ms=300") for _ in range(3)]
+    until(lambda: server.kernel.starts)
+    held = client.send("order", b"never")
+    client.say("abort", seqid=held)
+    assert [client.answer(seq)[0] for seq in running] == ["success"] * 3
+    assert client.ask("fetch")[0] == "success"
+    assert held not in client.answers and b"never" not in server.kernel.by_body
+    assert client.count[running[0]] == 1
+
+
+@pytest.mark.parametrize(("script", "kind", "calls"), [
+    (["BUSY"], "success", 2), (["VOID"], "success", 2), (["ERR"], "failed", 1), (["LATE"], "failed", 1),
+    (["cut"], "failed", 1)])
+def test_an_orders_call_is_repeated_only_on_proof(server: Tile, script: list[str], kind: str,
+                                                  calls: int) -> None:
+    server.store.script = script
+    assert Client(server.ports[0]).ask("order", b"calls=1")[0] == kind
+    assert len(server.store.calls) == calls
+
+
+def test_a_store_that_is_down_proves_that_no_call_ran(server: Tile) -> None:
+    port = server.store.port
+    server.store.down()
+    client = Client(server.ports[0])
+    seq = client.send("order", b"calls=1")
+    until(lambda: server.counters().get("store.unreachable"))
+    server.store = Store(port)
+    assert client.answer(seq)[0] == "success"
+
+
+def test_a_call_that_nobody_needs_is_dropped(server: Tile) -> None:
+    server.store.script = ["hang"]
+    client = Client(server.ports[0])
+    seq = client.send("order", b"calls=1")
+    until(lambda: server.store.calls)
+    client.say("abort", seqid=seq)
+    assert until(lambda: server.store.drops) == [server.store.calls[0][0]]
+
+
+def test_overload_answers_all_by_the_due_time_with_a_retry_after(server: Tile) -> None:
+    clients = [Client(server.ports[0]) for _ in range(4)]
+    began = time.time() * 1000
+    sent = [(client, client.send("render", b"ms=300"), began) for client in clients for _ in range(16)]
+    answers = [client.answer(seq) for client, seq, _ in sent]
+    refused = [answer for kind, answer in answers if kind == "refused"]
+    assert refused and all(float(answer.fields["backoff"]) > 0 for answer in refused)
+    assert all(client.times[seq] - at < 6100 + 150 for client, seq, at in sent)
+    assert all(count == 1 for client in clients for count in client.count.values())
+
+
+def test_a_broken_kernel_link_loses_no_run_and_starts_no_order_twice(server: Tile) -> None:
+    client = Client(server.ports[0])
+    order, read = client.send("order", b"ms=300 calls=1"), client.send("render", b"ms=300 calls=1")
+    until(lambda: len(server.kernel.replies) == 2)
+    server.kernel.cut(server.kernel.link)
+    assert client.answer(order)[0] == client.answer(read)[0] == "success"
+    assert server.kernel.by_body[b"ms=300 calls=1"] == 2 and server.kernel.commands[0]["no"] == 0
+    opens = [row["no"] for row in server.kernel.commands if row["t"] == "OPEN"]
+    assert len(opens) >= 2 and opens[-1] == 2
+
+
+@pytest.mark.parametrize(("method", "starts", "kind"), [("order", 0, "failed"), ("render", 1, "success")])
+def test_an_order_lost_with_the_link_is_never_sent_again(server: Tile, method: str, starts: int,
+                                                         kind: str) -> None:
+    client = Client(server.ports[0])
+    server.kernel.deaf = True
+    time.sleep(0.1)
+    seq = client.send(method, b"lost")
+    time.sleep(0.1)
+    server.kernel.deaf = False
+    server.kernel.cut(server.kernel.link)
+    assert client.answer(seq)[0] == kind
+    assert server.kernel.by_body[b"lost"] == starts
+
+
+def test_a_kernel_that_starts_anew_fails_its_old_runs_at_once(server: Tile) -> None:
+    client = Client(server.ports[0])
+    seq = client.send("order", b"calls=1")
+    server.store.script = ["hang"]
+    until(lambda: server.kernel.starts)
+    server.kernel.born, server.kernel.notices = time.time() + 5, []
+    server.kernel.cut(server.kernel.link)
+    assert client.answer(seq)[0] == "failed"
+    assert client.ask("fetch", b"after")[0] == "success"
+
+
+def test_the_roster_hears_on_then_off_and_may_be_away(server: Tile) -> None:
+    until(lambda: len(server.roster.reports) >= 2)
+    assert server.roster.reports[0] == ("/roster/n3", {"duty": "on"})
+    server.roster.cut()
+    seen = len(server.roster.reports)
+    until(lambda: len(server.roster.reports) > seen)
+    server.process.terminate()
+    until(lambda: server.roster.reports[-1][1] == {"duty": "off"})
+
+
+def test_drain_tells_clients_answers_all_and_exits_clean(server: Tile) -> None:
+    client = Client(server.ports[0])
+    seqs = [client.send("render", b"ms=700") for _ in range(10)]
+    until(lambda: server.kernel.starts)
+    server.process.terminate()
+    until(lambda: client.told == ["shutdown"])
+    late = Client(server.ports[0])
+    early = late.send("fetch", b"in grace")
+    time.sleep(1.1)
+    beyond = late.send("fetch", b"past grace")
+    assert late.answer(early)[0] in ("success", "refused")
+    assert late.answer(beyond)[0] == "refused" and b"past grace" not in server.kernel.by_body
+    assert all(client.answer(seq)[0] in ("success", "refused", "failed") for seq in seqs)
+    assert server.process.wait(20) == 0
+    assert server.event("counters")["answer.refused.thrift"] >= 1
+
+
+def test_a_client_that_does_not_read_is_cut_off_and_nobody_else_waits(server: Tile) -> None:
+    lazy = socket.create_connection(("127.0.0.1", server.ports[0]))
+    lazy.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    bad = b"\x80\x01\x00\x01" + struct.pack(">I", 40) + b"m" * 40 + struct.pack(">I", 7) + b"\0"
+
+    def flood() -> None:
+        try:
+            for _ in range(400):
+                lazy.sendall((struct.pack(">I", len(bad)) + bad) * 500)
+        except OSError:
+            pass
+
+    thread = threading.Thread(target=flood, daemon=True)
+    thread.start()
+    for _ in range(20):
+        assert Client(server.ports[0]).ask("fetch")[0] == "success"
+    thread.join(30)
+    assert not thread.is_alive() and server.process.poll() is None
+
+
+@pytest.mark.parametrize(("key", "value", "text"), [
+    ("kernel", None, "kernel: missing"), ("listen", "nowhere", "listen: expected HOST:PORT"),
+    ("seed", "zz!", "seed:"), ("stop_ms", "soon", "stop_ms: expected a number"),
+    ("limits", {"sockets": 3}, "limits.sockets:"), ("settings", {}, "settings.family_info: missing")])
+def test_a_faulty_key_is_named_in_one_line(tmp_path: Path, key: str, value: object, text: str) -> None:
+    config = {"name": "n", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "store": "127.0.0.1:1",
+              "roster": "127.0.0.1:1", "settings": settings(), key: value}
+    (tmp_path / "c.json").write_text(json.dumps(config))
+    done = subprocess.run([sys.executable, "-m", "myrtlespar"], cwd=ROOT, capture_output=True, text=True,
+                          env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "c.json")}, check=False)
+    assert done.returncode == 2 and done.stderr.startswith(text) and done.stderr.count("\n") == 1
+
+
+def test_a_kernel_that_comes_late_is_waited_for(tmp_path: Path) -> None:
+    with tile(tmp_path, late_kernel=True) as running:
+        client = Client(running.ports[0])
+        assert client.answer(client.say("ping", full=False))[1].good
+        assert not running.roster.reports
+        running.kernel.up.set()
+        until(lambda: running.roster.reports)
+        assert client.ask("order")[0] == "success"
