--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -190,12 +190,23 @@
             seen = self.gauges.latest(now) if self.gauges else []
             events.extend(api.Tick(token, seen) for _, token in ticks)
         if events:
-            for action in self.policy.handle(now, events):
+            for action in self._decide(now, events):
                 self._act(action, now)
+        if not self._wakes:  # guards against housekeeping that ends for good with one lost tick
+            self._wakes.append((now + SWEEP_MS, 0))
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_MS
             self._sweep(now)
 
+    def _decide(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        """Guards against a fault of the module: the sweep still answers what it leaves open."""
+        try:
+            return self.policy.handle(now, events)
+        except Exception:
+            self.counters.add("core.fault")
+            log.exception("the module failed", events=len(events))
+            return []
+
     def _arrival(self, exchange: Exchange, now: float) -> api.Arrival:
         return api.Arrival(exchange.id, exchange.cls, exchange.kb, max(0.0, now - exchange.arrived),
                            sender=exchange.sender, rank=exchange.rank, further_try=exchange.again)
@@ -258,14 +269,13 @@
         """Guards against anything that leaves a request open: a lost run, a policy that forgot it."""
         end = self.kill_at - SWEEP_MS if self.draining else float("inf")
         for exchange in list(self.open.values()):
-            last = min(exchange.due + self.limits.overdue_ms, end)
+            follows = self._waits_for_another(exchange)
+            last = min(exchange.due + (0.0 if follows else self.limits.overdue_ms), end)
             if exchange.answer is None and now >= last:
-                self.counters.add("answer.overdue")
-                if self._waits_for_another(exchange):
+                if follows:
                     del self.open[exchange.id]
-                self._settle(exchange, Answer(Kind.FAILED, late=True))
-            elif exchange.answer is None and self._waits_for_another(exchange) and now >= exchange.due:
-                del self.open[exchange.id]
+                else:
+                    self.counters.add("answer.overdue")
                 self._settle(exchange, Answer(Kind.FAILED, late=True))
             elif exchange.doubt and exchange.answer and now >= exchange.due + self.limits.doubt_ms:
                 self.ended(exchange.id, Outcome.MOOT, 0.0)
@@ -315,7 +325,9 @@
         waiting = [one for one in exchange.followers if one.answer is None]
         exchange.followers = []
         if exchange.started and outcome.kind is not Kind.REFUSED:
-            known.outcome = outcome
+            # Guards memory: long results are not remembered, a late repeat of those is failed.
+            short = len(outcome.body) <= self.limits.result_bytes
+            known.outcome = outcome if short else Answer(Kind.FAILED)
             self._expiry.append((unix_ms() + self.limits.key_ms, slot))
         else:
             del self._keys[slot]
--- a/myrtlespar/net/ajp.py
+++ b/myrtlespar/net/ajp.py
@@ -231,8 +231,11 @@
         unread = self.request.header("content-length") or self.request.header("transfer-encoding")
         reuse = not self.core.draining and (self.state == OPEN or not unread)
         rows = (*rows, ("Content-Length", str(len(body))))
-        data = b"".join(wire.write_reply(status, rows, b"" if self.request.method == "HEAD" else body, reuse,
-                                         self.limits.ajp_packet))
+        body, most = b"" if self.request.method == "HEAD" else body, self.limits.ajp_packet
+        try:
+            data = b"".join(wire.write_reply(status, rows, body, reuse, most))
+        except wire.BadPacket:  # guards the core against headers of a worker that fill more than a packet
+            status, data = 500, b"".join(wire.write_reply(500, (), b"", reuse, most))
         self.core.counters.add(f"sent.{status}.ajp")
         self.outbox.put(data)
         self.state = IDLE
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -81,6 +81,7 @@
         self.classes = {name: n for n, name in enumerate(config.class_names)}
         self.links: set[Link] = set()
         self.idle_ms = 0.0
+        self.most = self.limits.connections * 3 // 4 if config.ajp.listen else self.limits.connections
         self._server = StreamServer(config.listen, self._serve, backlog=512)
 
     def start(self) -> None:
@@ -109,7 +110,7 @@
         gevent.joinall([gevent.spawn(link.outbox.drained, timeout) for link in list(self.links)], timeout)
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
-        if len(self.links) >= self.limits.connections:  # guards against running out of descriptors
+        if len(self.links) >= self.most:  # guards against running out of descriptors
             self.core.counters.add("in.connection_refused.thrift")
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -465,7 +465,7 @@
             if step == "cut":
                 return
             if step == "hang":
-                time.sleep(WAIT_S)
+                return time.sleep(WAIT_S)
             out = b"\x04" + struct.pack(">H", int(step)) + text("x") + b"\0\x01"
             out += text("X-By") + text(self.name)
             link.sendall(b"AB" + struct.pack(">H", len(out)) + out)
