Fail a run that reaches its call past its aim instead of calling for it

Seen: the module drops a run from its list of useless work when the aim passes on a core, so a call needed later was still made, with store time and core time for an answer worth nothing. At fault: _end_useless pops the job, _call_needed did not look at the aim.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -272,3 +272,14 @@
     server.at(9000)
     assert answers(server.log, "held") <= 1 and answers(server.log, "run") == 0
     assert server.policy.memory == 0 and not server.policy.jobs
+
+
+def test_run_that_reaches_its_call_past_its_aim_is_failed_and_never_calls() -> None:
+    server = Server()
+    server.arrive(10, "a", 3)
+    server.at(2100)
+    assert not server.said(api.Fail, "a")  # it runs, and may yet end by itself
+    out = server.at(2110, api.CallNeeded("a"))
+    assert api.Fail("a") in out and not server.said(api.Call, "a")
+    server.at(2120, api.RunEnded("a", Outcome.STOPPED, 2110))
+    assert answers(server.log, "a") == 1 and server.policy.memory == 0
