--- a/myrtlespar/decide.py
+++ b/myrtlespar/decide.py
@@ -604,7 +604,7 @@
         job.state, job.retry_at, job.tries = AT_CALL, self.now, 0
         self.waiters += 1
         if job.aim_at <= self.now and not self.s.classes[job.cls].late_worth and not job.answered:
-            return self._fail(job)  # guards against calls and core time for what was of no use before its call
+            return self._fail(job)  # guards against calls and core time for what is of no use
         self.at_call.append(job)
 
     def _call_ended(self, event: api.CallEnded) -> None:
