--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -84,7 +84,7 @@
         self.owed = 0  # exchanges without their final answer
         self._mail: list[api.Event | Exchange] = []
         self._ready = Event()
-        self._wakes: list[tuple[float, int]] = []
+        self._wakes: list[tuple[float, int]] = [(unix_ms(), 0)]
         self._asked = False
         self._sweep_at = 0.0
         self._keys: dict[tuple[int, str], Known] = {}
@@ -156,19 +156,19 @@
 
     def run(self) -> None:
         """Take batches until told to stop."""
-        self._post(api.Tick(-1, []))
         while not self._stop:
             self._turn()
-            now = unix_ms()
-            due = min([self._sweep_at, *(at for at, _ in self._wakes)])
-            if self.gauges and self._wakes and not self._asked:
-                due -= self.limits.gauge_lead_ms
             if self._mail:
                 gevent.sleep(0)  # guards against a stream of events that lets nothing else run
             else:
-                self._ready.wait(max(0.0, due - now) / 1000.0)
+                self._ready.wait(max(0.0, self._next_turn() - unix_ms()) / 1000.0)
             self._ready.clear()
 
+    def _next_turn(self) -> float:
+        """When something is due if nothing happens. Guards against turns that come early and find nothing."""
+        wake = min(at for at, _ in self._wakes)
+        return min(self._sweep_at, wake if self._asked else wake - self.limits.gauge_lead_ms)
+
     def stop(self) -> None:
         """End the greenlet after its present turn."""
         self._stop = True
@@ -176,7 +176,7 @@
 
     def _turn(self) -> None:
         now = unix_ms()
-        if self._wakes and not self._asked and now >= self._wakes[0][0] - self.limits.gauge_lead_ms:
+        if not self._asked and now >= min(at for at, _ in self._wakes) - self.limits.gauge_lead_ms:
             self._asked = True
             if self.gauges:
                 self.gauges.ask()
@@ -192,8 +192,8 @@
         if events:
             for action in self._decide(now, events):
                 self._act(action, now)
-        if not self._wakes:  # guards against housekeeping that ends for good with one lost tick
-            self._wakes.append((now + SWEEP_MS, 0))
+            if not self._wakes:  # guards against housekeeping that ends for good with one lost tick
+                self._wakes.append((now + SWEEP_MS, 0))
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_MS
             self._sweep(now)
