Test configuration messages, a full table of keys and idle turns; drop calls of ended runs

Seen in a read-through: a run that ends while its call is in hand left the call in the store, where nobody needs it. Core.ended drops it now. The idle test fails with the spin of the core's greenlet put back.

--- a/myrtlespar/config.py
+++ b/myrtlespar/config.py
@@ -16,6 +16,7 @@
 from myrtlespar.settings import MissingSetting, read_settings
 
 Address = tuple[str, int]
+SPARE_DESCRIPTORS = 48  # for the links of the server side, listeners, log and event loop
 
 
 class ConfigError(Exception):
@@ -162,10 +163,9 @@
         if row.effect is api.Effect.KEYED:  # guards against running repeats that only a table of keys catches
             raise ConfigError(f"settings.classes[{n}].effect: 'guarded' classes are not served on sockets")
     own = rows.table("limits")
-    memory = own.number("memory_mb", 192, 48, 1e6)
     sockets = own.number("sockets", 1024, 64, 1e6)
-    limits = replace(Limits(), memory_mb=int(memory), descriptors=int(sockets),
-                     connections=int(sockets) - 48, stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
+    limits = replace(Limits(), connections=int(sockets) - SPARE_DESCRIPTORS,
+                     stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
     listen = env.get("BALANCER_LISTEN", "")
     seed = rows.text("seed", "0")
     if not re.fullmatch(r"[0-9a-fA-F]{1,32}", seed):
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -120,6 +120,8 @@
         if exchange is None or not exchange.started:
             return
         del self.open[id]
+        if self.dependency:
+            self.dependency.drop(id)  # guards the store against calls of a run that was ended at its call
         final = answer or Answer(Kind.FAILED)
         self._settle(exchange, final)
         self._conclude(exchange, final)
@@ -176,6 +178,7 @@
 
     def _turn(self) -> None:
         now = unix_ms()
+        self.counters.add("core.turn")
         if not self._asked and now >= min(at for at, _ in self._wakes) - self.limits.gauge_lead_ms:
             self._asked = True
             if self.gauges:
@@ -187,6 +190,7 @@
         if ticks:
             self._wakes = [wake for wake in self._wakes if wake[0] > now]
             self._asked = False
+            self.counters.add("core.tick", len(ticks))
             seen = self.gauges.latest(now) if self.gauges else []
             events.extend(api.Tick(token, seen) for _, token in ticks)
         if events:
--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -9,8 +9,6 @@
 class Limits:
     """Sizes in bytes, times in milliseconds; the starting values fit the platform's page."""
 
-    memory_mb: int = 192
-    descriptors: int = 1024
     stop_ms: float = 3000.0  # from the notice to drain to the kill
 
     body_bytes: int = 2048  # of a request
--- a/tests/test_ajp.py
+++ b/tests/test_ajp.py
@@ -159,6 +159,27 @@
     assert server.kernel.by_body[b"end=FAIL"] == 1
 
 
+def test_a_full_table_of_keys_turns_new_keys_away_and_forgets_none(tmp_path: Path) -> None:
+    with tile(tmp_path, operator=OPERATOR.replace("[idempotency]", "[idempotency]\nmost = 1")) as server:
+        client = Client(server.ports[0])
+        assert client.ask("order", b"one", idem="1")[0] == "success"
+        kind, refusal = client.ask("order", b"two", idem="2")
+        assert kind == "refused" and float(refusal.fields["backoff"]) > 0
+        assert client.ask("order", b"one", idem="1")[1].body == b"result of one"
+        assert server.kernel.by_body == {b"one": 1}
+
+
+def test_a_repeat_of_a_refused_order_may_run(server: Tile) -> None:
+    client = Client(server.ports[0])
+    busy = [client.send("render", b"ms=1500") for _ in range(3)]
+    until(lambda: server.kernel.starts)
+    held = [client.send("order", b"tried", idem="r"), client.send("order", b"tried", idem="r")]
+    assert [client.answer(seq)[0] for seq in held] in (["refused"] * 2, ["success"] * 2)
+    assert client.answer(busy[0])[0] == "success"
+    assert client.ask("order", b"tried", idem="r")[0] == "success"
+    assert server.kernel.by_body[b"tried"] == 1
+
+
 def test_drain_answers_and_closes_gateways(server: Tile) -> None:
     idle, busy = Gateway(server.ports[1]), Gateway(server.ports[1])
     busy.forward("/render", b"ms=500")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from myrtlespar.config import ConfigError, load
 from tests.standins import ROOT, Client, Store, Tile, exactly, settings, tile, until
 
 
@@ -235,3 +236,39 @@
         running.kernel.up.set()
         until(lambda: running.roster.reports)
         assert client.ask("order")[0] == "success"
+
+
+def test_an_idle_server_turns_a_few_times_a_tick_and_no_more(server: Tile) -> None:
+    until(lambda: server.counters()["core.tick"] > 20)
+    counts = server.counters()
+    assert counts["core.turn"] <= 6 * counts["core.tick"]
+
+
+@pytest.mark.parametrize(("text", "complaint"), [
+    ('[ajp]\nlisten = "x"', "ajp.listen: expected HOST:PORT"),
+    ('[ajp]\nlissten = "127.0.0.1:1"', "ajp.lissten: unknown key"),
+    ('[[ajp.map]]\npath = "/a"\nclass = "moon"', "ajp.map[0].class: no class named 'moon'"),
+    ('[[ajp.map]]\npath = "/a"\nclass = "order"\nto = "w"', "ajp.map[0].to: no worker or balancer"),
+    ('[[ajp.map]]\npath = "/a"\nclass = "order"\nworth = 1', "ajp.map[0].worth: expected a number"),
+    ('[[worker]]\nname = "w"', "worker[0].address: missing"),
+    ('[[balancer]]\nname = "b"\nmembers = ["w"]', "balancer b.members: no worker named 'w'"),
+    ("[idempotency]\nmost = 0", "idempotency.most: expected a number"),
+    ("[", "MYRTLESPAR_OPERATOR: not TOML")])
+def test_a_faulty_key_of_the_operators_file_is_named(tmp_path: Path, text: str, complaint: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        load(configured(tmp_path, text))
+    assert str(error.value).startswith(complaint) and "\n" not in str(error.value)
+
+
+def test_the_operators_example_is_read(tmp_path: Path) -> None:
+    config = load(configured(tmp_path, (ROOT / "deploy" / "ajp.toml").read_text()))
+    assert config.ajp.listen == ("127.0.0.1", 8009) and config.thrift_key == "idem"
+    assert [(rule.path, rule.to) for rule in config.ajp.maps][1] == ("/tiles/fetch", "viewers")
+
+
+def configured(tmp: Path, operator: str) -> dict[str, str]:
+    config = {"name": "n", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "store": "127.0.0.1:1",
+              "roster": "127.0.0.1:1", "settings": settings()}
+    (tmp / "c.json").write_text(json.dumps(config))
+    (tmp / "o.toml").write_text(operator)
+    return {"BALANCER_CONFIG": str(tmp / "c.json"), "MYRTLESPAR_OPERATOR": str(tmp / "o.toml")}
