--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,10 @@
 import pytest
 
 from myrtlespar.config import ConfigError, load
+from myrtlespar.core import Core
+from myrtlespar.counters import Counters
+from myrtlespar.limits import Limits
+from myrtlespar.settings import read_settings
 from tests.standins import ROOT, Client, Store, Tile, exactly, settings, tile, until
 
 
@@ -238,10 +242,12 @@
         assert client.ask("order")[0] == "success"
 
 
-def test_an_idle_server_turns_a_few_times_a_tick_and_no_more(server: Tile) -> None:
-    until(lambda: server.counters()["core.tick"] > 20)
-    counts = server.counters()
-    assert counts["core.turn"] <= 6 * counts["core.tick"]
+@pytest.mark.parametrize(("asked", "wake", "turn"), [(False, 1040.0, 1000.0), (False, 1003.0, 999.0),
+                                                     (True, 1003.0, 1000.0), (True, 990.0, 990.0)])
+def test_the_core_turns_no_earlier_than_something_is_due(asked: bool, wake: float, turn: float) -> None:
+    core = Core(read_settings(settings()), 1, Limits(), Counters())
+    core._sweep_at, core._wakes, core._asked = 1000.0, [(wake, 0)], asked
+    assert core._next_turn() == turn
 
 
 @pytest.mark.parametrize(("text", "complaint"), [
