Share one listener between the fronts; wait longer before a kernel link counts as dead

Seen: both fronts wrote accept, limit and end anew. A pause of the machine over 3 s would have made the link look dead and brought a doubtful reconnect; the limit is 10 s now.

--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -23,7 +23,7 @@
 
     connect_ms: float = 1000.0
     reconnect_ms: float = 50.0  # between tries to reach the kernel
-    kernel_silence_ms: float = 3000.0  # gauges unanswered for so long: the link is taken for dead
+    kernel_silence_ms: float = 10000.0  # gauges unanswered for so long, a pause included: the link is dead
     gauge_lead_ms: float = 4.0  # gauges are asked for so long before a tick
     gauge_age_ms: float = 500.0  # older gauges are not passed on
     store_idle_ms: float = 7000.0  # the store closes after 10 s; we go first
--- a/myrtlespar/net/ajp.py
+++ b/myrtlespar/net/ajp.py
@@ -7,18 +7,17 @@
 import re
 import zlib
 from hmac import compare_digest
-from typing import Any
 
 import gevent
 import structlog
 from gevent import socket
-from gevent.server import StreamServer
 
 from myrtlespar.config import Address, Config, PathRule
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.net import ajpwire as wire
-from myrtlespar.net.links import Closed, Outbox, Reader, accepted
+from myrtlespar.net.links import Closed, Outbox, Reader
+from myrtlespar.net.listener import Listener
 
 log = structlog.get_logger()
 SESSION = re.compile(r"jsessionid=[^;,\s]*?\.([A-Za-z0-9_-]+)(?:$|[;,\s?/])", re.I)
@@ -31,24 +30,17 @@
     return found.group(1) if found else request.attributes.get("jvm_route", "")
 
 
-class AjpFront:
+IDLE, READING, OPEN = range(3)
+
+
+class AjpFront(Listener["Link"]):
     """Listens for gateways."""
 
     def __init__(self, config: Config, core: Core, listen: Address) -> None:
-        self.config, self.core, self.limits, self.ajp = config, core, config.limits, config.ajp
+        self.config, self.limits, self.ajp = config, config.limits, config.ajp
         self.rules = sorted(config.ajp.maps, key=lambda rule: -len(rule.path))
         self.ids = random.Random(config.seed)
-        self.links: set[Link] = set()
-        self._server = StreamServer(listen, self._serve, backlog=512)
-
-    def start(self) -> None:
-        """Listen."""
-        self._server.start()
-
-    @property
-    def port(self) -> int:
-        """The port in use."""
-        return int(self._server.server_port)
+        super().__init__("ajp", listen, core, self.limits.connections // 4, lambda sock: Link(self, sock))
 
     def drain(self) -> None:
         """Close what carries nothing; the rest closes with its answer."""
@@ -56,16 +48,6 @@
             if link.state == IDLE:
                 link.outbox.finish()
 
-    def stop(self) -> None:
-        """Accept no more."""
-        self._server.close()
-
-    def finish(self, timeout: float) -> None:
-        """Send what is queued, then close all connections."""
-        for link in list(self.links):
-            link.outbox.finish()
-        gevent.joinall([gevent.spawn(link.outbox.drained, timeout) for link in list(self.links)], timeout)
-
     def rule(self, uri: str) -> PathRule | None:
         """The rule with the longest path that holds this one; `/a` holds `/a` and `/a/b`, not `/ab`."""
         path = uri.split(";", 1)[0].split("?", 1)[0]
@@ -74,23 +56,6 @@
                 return rule
         return None
 
-    def _serve(self, sock: socket.socket, peer: Any) -> None:
-        if len(self.links) >= self.limits.connections // 4:  # guards the platform's front against ours
-            self.core.counters.add("in.connection_refused.ajp")
-            return
-        accepted(sock, self.limits)
-        link = Link(self, sock)
-        self.links.add(link)
-        self.core.counters.add("in.connection.ajp")
-        try:
-            link.read()
-        finally:
-            link.outbox.close()  # guards against writes to a descriptor that is closed and used anew
-            self.links.discard(link)
-
-
-IDLE, READING, OPEN = range(3)
-
 
 class Link:
     """One gateway's connection: one request at a time."""
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -10,7 +10,6 @@
 import structlog
 import thriftpy2
 from gevent import socket
-from gevent.server import StreamServer
 from thriftpy2.protocol.binary import TBinaryProtocol
 from thriftpy2.thrift import TApplicationException, TMessageType
 from thriftpy2.transport import TMemoryBuffer
@@ -18,7 +17,8 @@
 from myrtlespar.config import Config
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.exchange import Answer, Exchange, Kind
-from myrtlespar.net.links import Closed, Outbox, Reader, accepted
+from myrtlespar.net.links import Closed, Outbox, Reader
+from myrtlespar.net.listener import Listener
 
 log = structlog.get_logger()
 idl: Any = thriftpy2.load(str(Path(__file__).parent / "front.thrift"), module_name="front_thrift")
@@ -73,56 +73,26 @@
     return value
 
 
-class ThriftFront:
+class ThriftFront(Listener["Link"]):
     """Listens for client proxies."""
 
     def __init__(self, config: Config, core: Core) -> None:
-        self.config, self.core, self.limits = config, core, config.limits
+        self.config, self.limits = config, config.limits
         self.classes = {name: n for n, name in enumerate(config.class_names)}
-        self.links: set[Link] = set()
         self.idle_ms = 0.0
-        self.most = self.limits.connections * 3 // 4 if config.ajp.listen else self.limits.connections
-        self._server = StreamServer(config.listen, self._serve, backlog=512)
+        most = self.limits.connections * 3 // 4 if config.ajp.listen else self.limits.connections
+        super().__init__("thrift", config.listen, core, most, lambda sock: Link(self, sock))
 
     def start(self) -> None:
         """Listen."""
-        self._server.start()
+        super().start()
         gevent.spawn(self._close_idle)
 
-    @property
-    def port(self) -> int:
-        """The port in use."""
-        return int(self._server.server_port)
-
     def drain(self) -> None:
         """Ask every client to send nothing new on its open connections."""
         for link in list(self.links):
             link.outbox.put(encode("shutdown", TMessageType.ONEWAY, 0, idl.Front.ping_args()))
 
-    def stop(self) -> None:
-        """Accept no more."""
-        self._server.close()
-
-    def finish(self, timeout: float) -> None:
-        """Send what is queued, then close all connections."""
-        for link in list(self.links):
-            link.outbox.finish()
-        gevent.joinall([gevent.spawn(link.outbox.drained, timeout) for link in list(self.links)], timeout)
-
-    def _serve(self, sock: socket.socket, _: Any) -> None:
-        if len(self.links) >= self.most:  # guards against running out of descriptors
-            self.core.counters.add("in.connection_refused.thrift")
-            return
-        accepted(sock, self.limits)
-        link = Link(self, sock)
-        self.links.add(link)
-        self.core.counters.add("in.connection.thrift")
-        try:
-            link.read()
-        finally:
-            link.outbox.close()  # guards against writes to a descriptor that is closed and used anew
-            self.links.discard(link)
-
     def _close_idle(self) -> None:
         while True:
             gevent.sleep(0.25)
