--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -90,7 +90,8 @@
 
     def drain(self) -> None:
         """Ask every client to send nothing new on its open connections."""
-        for link in list(self.links):
+        for link in [link for link in self.links if not link.told]:
+            link.told = True
             link.outbox.put(encode("shutdown", TMessageType.ONEWAY, 0, idl.Front.ping_args()))
 
     def _close_idle(self) -> None:
@@ -111,6 +112,7 @@
         self.reader = Reader(sock, front.limits.frame_bytes)
         self.open: dict[int, Exchange] = {}
         self.used = unix_ms()
+        self.told = False  # that nothing new is to be sent here
 
     def read(self) -> None:
         """Take frames until the connection ends; whoever still waits then is gone."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -196,7 +196,9 @@
     assert late.answer(beyond)[0] == "refused" and b"past grace" not in server.kernel.by_body
     assert all(client.answer(seq)[0] in ("success", "refused", "failed") for seq in seqs)
     assert server.process.wait(20) == 0
-    assert server.event("counters")["answer.refused.thrift"] >= 1
+    assert client.ended.wait(20) and late.ended.wait(20)
+    assert client.told == late.told == ["shutdown"]
+    assert until(lambda: server.event("counters"))["answer.refused.thrift"] >= 1
 
 
 def test_a_client_that_does_not_read_is_cut_off_and_nobody_else_waits(server: Tile) -> None:
