--- a/myrtlespar/__main__.py
+++ b/myrtlespar/__main__.py
@@ -20,8 +20,6 @@
 from myrtlespar.net.workers import engines
 
 log = structlog.get_logger()
-CROSSING_S = 0.05  # a request sent as a connection closes may still be on its way for so long
-FLUSH_S = 0.3  # at most, to send the last answers before the exit
 
 
 def serve(config: Config) -> None:
@@ -64,10 +62,11 @@
     for front in fronts:
         front.stop()
         front.drain()  # connections opened since the notice
-    gevent.sleep(CROSSING_S)
+    gevent.sleep(config.limits.crossing_ms / 1000.0)
     while core.owed and unix_ms() < core.kill_at:  # what was read while the listener closed
         gevent.sleep(0.01)
-    gevent.joinall([gevent.spawn(front.finish, FLUSH_S) for front in fronts], FLUSH_S)
+    flush_s = config.limits.flush_ms / 1000.0
+    gevent.joinall([gevent.spawn(front.finish, flush_s) for front in fronts], flush_s)
     core.stop()
     log.info("counters", **counters.report())
 
@@ -76,7 +75,7 @@
     """All is answered and nothing that comes now may run, or the kill is near."""
     now = unix_ms()
     grace_over = now > core.kill_at - core.limits.stop_ms + core.settings.drain_grace_ms
-    return (grace_over and not core.owed) or now > core.kill_at - 2 * FLUSH_S * 1000.0
+    return (grace_over and not core.owed) or now > core.kill_at - 2 * core.limits.flush_ms
 
 
 def main() -> int:
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -20,7 +20,6 @@
 from myrtlespar.limits import Limits
 
 log = structlog.get_logger()
-SWEEP_MS = 50.0  # between looks for answers that are overdue
 
 
 def unix_ms() -> float:
@@ -197,9 +196,9 @@
             for action in self._decide(now, events):
                 self._act(action, now)
             if not self._wakes:  # guards against housekeeping that ends for good with one lost tick
-                self._wakes.append((now + SWEEP_MS, 0))
+                self._wakes.append((now + self.limits.sweep_ms, 0))
         if now >= self._sweep_at:
-            self._sweep_at = now + SWEEP_MS
+            self._sweep_at = now + self.limits.sweep_ms
             self._sweep(now)
 
     def _decide(self, now: float, events: list[api.Event]) -> list[api.Action]:
@@ -271,7 +270,7 @@
 
     def _sweep(self, now: float) -> None:
         """Guards against anything that leaves a request open: a lost run, a policy that forgot it."""
-        end = self.kill_at - SWEEP_MS if self.draining else float("inf")
+        end = self.kill_at - self.limits.sweep_ms if self.draining else float("inf")
         for exchange in list(self.open.values()):
             follows = self._waits_for_another(exchange)
             last = min(exchange.due + (0.0 if follows else self.limits.overdue_ms), end)
--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -31,6 +31,16 @@
     report_every_ms: float = 1000.0  # to the roster; it forgets after 3 s
     report_ms: float = 900.0  # one report may take so long
 
+    kernel_line: int = 1 << 20
+    kernel_marks: int = 256  # gauges asked for and not yet answered
+    same_boot_ms: float = 1000.0  # two readings of one start of the kernel differ by less
+    store_line: int = 4096
+    store_reply: int = 1 << 20
+    store_outbox: int = 4096  # unsent calls
+    idle_look_ms: float = 250.0  # between looks for idle connections
+    sweep_ms: float = 50.0  # between looks for answers that are overdue
+    flush_ms: float = 300.0  # at most, to send the last answers before the exit
+    crossing_ms: float = 50.0  # a request sent as a connection closes may still be on its way for so long
     overdue_ms: float = 60.0  # past its due time a request still open is failed, whatever else was decided
     doubt_ms: float = 1000.0  # an answered run that may never have started gives its place back after this
     keys: int = 4096  # idempotency keys remembered
--- a/myrtlespar/net/kernel.py
+++ b/myrtlespar/net/kernel.py
@@ -19,8 +19,6 @@
 
 log = structlog.get_logger()
 ENDS = {"PASS": Outcome.OK, "FAIL": Outcome.ERROR, "KILLED": Outcome.STOPPED, "NOOP": Outcome.MOOT}
-LINE_BYTES = 1 << 20
-SAME_BOOT_MS = 1000.0  # two readings of one start differ by less
 
 
 @dataclass(slots=True)
@@ -71,7 +69,7 @@
 
     def ask(self) -> None:
         """Ask for the gauges; the answer also proves that all before it was read."""
-        if self._outbox and self._synced and len(self._marks) < 256:
+        if self._outbox and self._synced and len(self._marks) < self.limits.kernel_marks:
             self._mark("g")
 
     def latest(self, now: float) -> list[float]:
@@ -115,7 +113,7 @@
         watch = None
         try:
             outbox.put(line(t="OPEN", no=self._last))
-            reader = Reader(sock, LINE_BYTES)
+            reader = Reader(sock, self.limits.kernel_line)
             while True:
                 notice = json.loads(reader.line())
                 self._heard = unix_ms()
@@ -142,7 +140,7 @@
 
     def _boot(self, notice: dict[str, Any]) -> None:
         started = unix_ms() - float(notice.get("time_ms", 0.0))
-        if self._booted is not None and started - self._booted > SAME_BOOT_MS:
+        if self._booted is not None and started - self._booted > self.limits.same_boot_ms:
             # Guards against waiting for runs that died with the kernel they ran in.
             log.warning("the kernel started anew")
             self._last = 0
--- a/myrtlespar/net/store.py
+++ b/myrtlespar/net/store.py
@@ -17,8 +17,6 @@
 # BUSY and VOID prove that the call never ran; ERR and LATE prove nothing.
 ENDS = {b"OK": Outcome.OK, b"BUSY": Outcome.REJECTED, b"ERR": Outcome.ERROR, b"LATE": Outcome.TIMED_OUT,
         b"VOID": Outcome.MOOT}
-LINE_BYTES = 4096
-REPLY_BYTES = 1 << 20
 
 
 @dataclass(slots=True)
@@ -74,8 +72,8 @@
                     sock = connect(self.config.store, self.limits.connect_ms)
                 except OSError:  # no connection, no call: it never ran
                     return self._end(id, call, Outcome.UNREACHABLE)
-                self._link = Outbox(sock, 4096, self.limits.send_ms)
-                gevent.spawn(self._read, Reader(sock, LINE_BYTES), self._link)
+                self._link = Outbox(sock, self.limits.store_outbox, self.limits.send_ms)
+                gevent.spawn(self._read, Reader(sock, self.limits.store_line), self._link)
             self._send(id, call, self._link, text)
 
     def _end(self, id: str, call: Open, outcome: Outcome, reply: bytes = b"") -> None:
@@ -91,7 +89,7 @@
                 reply = b""
                 if end is Outcome.OK:
                     size = int(words[2])
-                    if not 0 <= size <= REPLY_BYTES:  # guards against a length that fills memory
+                    if not 0 <= size <= self.limits.store_reply:  # guards against a length that fills memory
                         raise ValueError(f"reply of {size} bytes")
                     reply = reader.exactly(size + 2)[:-2]
                 call = self._calls.get(id)
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -96,7 +96,7 @@
 
     def _close_idle(self) -> None:
         while True:
-            gevent.sleep(0.25)
+            gevent.sleep(self.limits.idle_look_ms / 1000.0)
             now = unix_ms()
             for link in list(self.links):
                 if self.idle_ms > 0 and not link.open and now - link.used > self.idle_ms:
