--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from myrtlespar.config import ConfigError, load
 from myrtlespar.core import Core
 from myrtlespar.counters import Counters
+from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.limits import Limits
 from myrtlespar.settings import read_settings
 from tests.standins import ROOT, Client, Store, Tile, exactly, settings, tile, until
@@ -252,6 +253,21 @@
     assert core._next_turn() == turn
 
 
+def test_a_fault_of_the_module_leaves_no_request_without_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    core, answers = Core(read_settings(settings()), 1, Limits(), Counters()), []
+
+    def broken(now: float, events: object) -> None:
+        raise ValueError("odd state")
+
+    monkeypatch.setattr(core.policy, "handle", broken)
+    arrived = time.time() * 1000 - 4500
+    late = Exchange("a", "thrift", 2, b"", arrived, lambda _, answer: answers.append(answer.kind))
+    assert core.submit(late)
+    core._turn()
+    assert answers == [Kind.FAILED] and core.owed == 0 and core.counters.report()["core.fault"] == 1
+    assert not late.settle(Answer(Kind.SERVED))  # the first answer wins
+
+
 @pytest.mark.parametrize(("text", "complaint"), [
     ('[ajp]\nlisten = "x"', "ajp.listen: expected HOST:PORT"),
     ('[ajp]\nlissten = "127.0.0.1:1"', "ajp.lissten: unknown key"),
