Take new addresses on SIGHUP; settle doubtful kernel commands; one call a store link

The new tests fail on the old program. Repeat on proof: replayed notices and the mark behind them show that the run had not ended; a repeat then does nothing if it runs.

--- a/myrtlespar/__main__.py
+++ b/myrtlespar/__main__.py
@@ -9,7 +9,7 @@
 import gevent
 import structlog
 
-from myrtlespar.config import Config, ConfigError, load
+from myrtlespar.config import Config, ConfigError, load, needs_restart
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.counters import Counters
 from myrtlespar.net.ajp import AjpFront
@@ -27,6 +27,7 @@
     counters = Counters()
     core = Core(config.settings, config.seed, config.limits, counters)
     kernel, store = Kernel(config, core), Store(config, core)
+    roster = Roster(config, core, kernel)
     core.engines[""], core.gauges, core.dependency = kernel, kernel, store
     core.engines.update(engines(config, core))
     thrift = ThriftFront(config, core)
@@ -44,14 +45,28 @@
             for front in fronts:
                 front.drain()
 
+    def reload() -> None:
+        """Take over new addresses; a file with a fault changes nothing."""
+        try:
+            fresh = load()
+        except ConfigError as error:
+            counters.add("reload.refused")
+            log.error("reload refused", error=str(error))
+            return
+        counters.add("reload.done")
+        for part, address in ((kernel, fresh.kernel), (store, fresh.store), (roster, fresh.roster)):
+            part.move(address)
+        log.info("reloaded", needs_restart=needs_restart(config, fresh))
+
     core.close_idle = close_idle
+    gevent.signal_handler(signal.SIGHUP, reload)
     gevent.signal_handler(signal.SIGTERM, drain)
     gevent.signal_handler(signal.SIGINT, drain)
     gevent.signal_handler(signal.SIGUSR1, lambda: log.info("counters", **counters.report()))
     for front in fronts:
         front.start()
     turns = gevent.spawn(core.run)
-    for part in (kernel, store, Roster(config, core, kernel)):
+    for part in (kernel, store, roster):
         gevent.spawn(part.serve)
     log.info("serving", name=config.name, ports=[front.port for front in fronts])
     gc.freeze()
--- a/myrtlespar/config.py
+++ b/myrtlespar/config.py
@@ -7,7 +7,7 @@
 import re
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -164,7 +164,7 @@
             raise ConfigError(f"settings.classes[{n}].effect: 'guarded' classes are not served on sockets")
     own = rows.table("limits")
     sockets = own.number("sockets", 1024, 64, 1e6)
-    limits = replace(Limits(), connections=int(sockets) - SPARE_DESCRIPTORS,
+    limits = replace(Limits(), connections=int(sockets) - SPARE_DESCRIPTORS - Limits().store_links,
                      stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
     listen = env.get("BALANCER_LISTEN", "")
     seed = rows.text("seed", "0")
@@ -180,6 +180,13 @@
     return _operator(config, Table(_toml(operator), "")) if operator else config
 
 
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """Keys that differ in a new file but are read at a start only; a reload moves the server side's links."""
+    moved = ("kernel", "store", "roster")
+    return [row.name for row in fields(Config)
+            if row.name not in moved and getattr(old, row.name) != getattr(new, row.name)]
+
+
 def _read(path: str, key: str) -> bytes:
     try:
         return Path(path).read_bytes()
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -280,8 +280,6 @@
                 else:
                     self.counters.add("answer.overdue")
                 self._settle(exchange, Answer(Kind.FAILED, late=True))
-            elif exchange.doubt and exchange.answer and now >= exchange.due + self.limits.doubt_ms:
-                self.ended(exchange.id, Outcome.MOOT, 0.0)
         while self._expiry and self._expiry[0][0] <= now:
             self._keys.pop(self._expiry.popleft()[1], None)
 
--- a/myrtlespar/exchange.py
+++ b/myrtlespar/exchange.py
@@ -32,8 +32,8 @@
 class Exchange:
     """One request: what it asks for, when it arrived, and its one settable final answer."""
 
-    __slots__ = ("again", "answer", "arrived", "body", "call_body", "cls", "deliver", "doubt", "due",
-                 "followers", "front", "headers", "id", "kb", "key", "method", "query", "rank", "route",
+    __slots__ = ("again", "answer", "arrived", "body", "call_body", "cls", "deliver", "due", "followers",
+                 "front", "headers", "id", "kb", "key", "method", "query", "rank", "route",
                  "sender", "started", "target", "uri")
 
     def __init__(self, id: str, front: str, cls: int, body: bytes, arrived: float,
@@ -49,7 +49,6 @@
         self.call_body = b""  # what the run asks of the store at the moment
         self.answer: Answer | None = None
         self.started = False
-        self.doubt = False  # the order to start may have been lost with a link
         self.followers: list[Exchange] = []  # repeats that wait for this one's outcome
 
     def settle(self, answer: Answer) -> bool:
--- a/myrtlespar/net/kernel.py
+++ b/myrtlespar/net/kernel.py
@@ -1,17 +1,16 @@
-"""The link to the kernel, which does the work. Reconnects, and repeats only what cannot run twice."""
+"""The link to the kernel, which does the work. Reconnects, moves, and repeats only what cannot run twice."""
 
 from __future__ import annotations
 
 import base64
 import json
-from collections import deque
 from dataclasses import dataclass
 from typing import Any
 
 import gevent
 import structlog
 
-from myrtlespar.config import Config
+from myrtlespar.config import Address, Config
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.interface import Effect, Outcome
@@ -27,13 +26,13 @@
 
     rid: str
     line: bytes
-    repeatable: bool
-    sent: bool = False
+    harmless: bool = False  # a second run of it would do no harm
+    sent: int = 0  # its place among all that was sent; 0: not sent yet
 
 
 def line(**fields: Any) -> bytes:
     """One message."""
-    return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
+    return json.dumps(fields).encode() + b"\n"
 
 
 class Kernel:
@@ -42,13 +41,16 @@
     def __init__(self, config: Config, core: Core) -> None:
         self.config, self.core, self.limits = config, core, config.limits
         self.up = False
+        self._address = config.kernel
         self._last = 0  # number of the last notice read
+        self._gap = -1  # the last one before a gap that was asked for again
         self._booted: float | None = None
-        self._outbox: Outbox | None = None
-        self._synced = False
-        self._open: deque[Command] = deque()
-        self._marks: dict[str, Command | None] = {}  # what was the newest command when the mark was sent
-        self._serial = 0
+        self._link: Outbox | None = None
+        self._ready = False  # commands may go out: replayed notices are read, and no move is under way
+        self._open: dict[str, Command] = {}  # by request, which has one at a time; in the order of sending
+        self._doubtful: dict[str, Command] = {}  # may be lost with an earlier link
+        self._marks: dict[str, int] = {}  # the newest command when the mark was sent
+        self._serial = self._sent = 0
         self._heard = 0.0
         self._values: list[float] = []
         self._values_at = 0.0
@@ -57,161 +59,216 @@
 
     def run(self, exchange: Exchange) -> None:
         """Start a request."""
+        body, route = base64.b64encode(exchange.body).decode(), self.config.class_names[exchange.cls]
         safe = self.config.settings.classes[exchange.cls].effect is Effect.SAFE
-        self._command(exchange.id, line(
-            t="SCHED", rid=exchange.id, route=self.config.class_names[exchange.cls],
-            b64=base64.b64encode(exchange.body).decode()), safe)
+        self._send(Command(exchange.id, line(t="SCHED", rid=exchange.id, route=route, b64=body), safe))
 
     def resume(self, exchange: Exchange, reply: bytes) -> None:
         """Hand a run its reply."""
-        encoded = base64.b64encode(reply).decode()
-        self._command(exchange.id, line(t="IODONE", rid=exchange.id, b64=encoded), True)
+        body = base64.b64encode(reply).decode()
+        self._send(Command(exchange.id, line(t="IODONE", rid=exchange.id, b64=body)))
 
     def ask(self) -> None:
         """Ask for the gauges; the answer also proves that all before it was read."""
-        if self._outbox and self._synced and len(self._marks) < self.limits.kernel_marks:
-            self._mark("g")
+        if self._ready and len(self._marks) < self.limits.kernel_marks:
+            self._mark("gauges")
 
     def latest(self, now: float) -> list[float]:
         """The freshest gauges, if fresh enough to mean anything."""
         return self._values if now - self._values_at <= self.limits.gauge_age_ms else []
 
-    def _command(self, rid: str, text: bytes, repeatable: bool) -> None:
-        command = Command(rid, text, repeatable)
-        self._open.append(command)
-        if self._outbox and self._synced:
-            command.sent = self._outbox.put(text)
+    def move(self, address: Address) -> None:
+        """Go on at another address, once the old link was read to its end: nothing is in doubt then."""
+        if address == self._address:
+            return
+        self._address = address
+        link, ready, self._ready = self._link, self._ready, False
+        if link is not None and ready:
+            self._mark("move")
+            gevent.spawn_later(self.limits.move_ms / 1000.0, link.close)  # should the old kernel not answer
+        elif link is not None and not any(mark.startswith("move") for mark in self._marks):
+            link.close()
+
+    def _send(self, command: Command) -> None:
+        """Send it, or keep it until there is a link to send it on."""
+        self._open.pop(command.rid, None)
+        self._open[command.rid] = command
+        if self._ready and self._link and self._link.put(command.line):
+            self._sent += 1
+            command.sent = self._sent
 
     def _mark(self, kind: str) -> None:
         self._serial += 1
-        mark = f"{kind}{self._serial}"
-        self._marks[mark] = self._open[-1] if self._open else None
-        if self._outbox:
-            self._outbox.put(line(t="SYSINFO", mark=mark))
+        mark = f"{kind}-{self._serial}"
+        self._marks[mark] = self._sent
+        if self._link:
+            self._link.put(line(t="SYSINFO", mark=mark))
 
     # The link.
 
     def serve(self) -> None:
         """Keep a link for good."""
         while True:
+            began = unix_ms()
             try:
-                self._link()
+                self._connect()
             except (OSError, Closed) as error:
                 log.info("kernel link", error=str(error))
-            except (ValueError, KeyError, TypeError) as error:
-                log.error("kernel sent what can't be read", error=str(error))
+            except (ValueError, TypeError) as error:  # guards against gauges or a start that are no numbers
+                log.error("kernel sent what can't be read", error=str(error)[:200])
                 self.core.counters.add("kernel.bad_notice")
-            self._synced, self._outbox = False, None
-            gevent.sleep(self.limits.reconnect_ms / 1000.0)
+            self._ready, self._link = False, None
+            # A link that held is replaced at once: runs go on meanwhile, and their notices wait.
+            gevent.sleep(max(0.0, began + self.limits.reconnect_ms - unix_ms()) / 1000.0)
 
-    def _link(self) -> None:
-        sock = connect(self.config.kernel, self.limits.connect_ms)
+    def _connect(self) -> None:
+        sock = connect(self._address, self.limits.connect_ms)
         self.core.counters.add("kernel.link")
-        outbox = Outbox(sock, self.limits.kernel_outbox, self.limits.send_ms)
+        self._link = link = Outbox(sock, self.limits.kernel_outbox, self.limits.send_ms)
         self._marks.clear()
-        booted = False
-        watch = None
+        self._doubtful.update((rid, command) for rid, command in self._open.items() if command.sent)
+        self._open = {rid: command for rid, command in self._open.items() if not command.sent}
+        tasks = [gevent.spawn(self._watch, link)]
         try:
-            outbox.put(line(t="OPEN", no=self._last))
+            link.put(line(t="OPEN", no=self._last))
             reader = Reader(sock, self.limits.kernel_line)
+            booted = False
             while True:
-                notice = json.loads(reader.line())
-                self._heard = unix_ms()
-                if notice["t"] == "BOOTED" and not booted:
+                notice = self._parse(reader.line())
+                if notice.get("t") == "BOOTED" and not booted:
                     booted = True
                     self._boot(notice)
-                    self._outbox = outbox
                     self._mark("sync")  # its answer comes behind all notices that are replayed
-                    watch = gevent.spawn(self._watch, outbox)
-                else:
-                    self._notice(notice)
+                    tasks.append(gevent.spawn(self._settle_doubts))
+                self._heard = unix_ms()
+                number = notice.get("no")
+                if not isinstance(number, int):
+                    self._unnumbered(notice)
+                elif number > self._last:  # guards against handling a notice twice
+                    if number > self._last + 1 and self._gap != self._last:
+                        # Guards against notices lost on the way. Asked for once: not all are kept for good.
+                        self._gap = self._last
+                        self.core.counters.add("kernel.gap")
+                        raise Closed(f"notice {number} after {self._last}")
+                    self._last = number
+                    self._numbered(notice)
         finally:
-            outbox.close()
+            link.close()
             sock.close()
-            if watch:
-                watch.kill(block=False)
+            gevent.killall(tasks, block=False)
 
-    def _watch(self, outbox: Outbox) -> None:
+    def _parse(self, text: bytes) -> dict[str, Any]:
+        """Guards against an odd line: it is passed over; a notice lost with it shows as a gap in numbers."""
+        try:
+            notice = json.loads(text)
+            if isinstance(notice, dict):
+                return notice
+        except ValueError:
+            pass
+        self.core.counters.add("kernel.bad_notice")
+        return {}
+
+    def _watch(self, link: Outbox) -> None:
         """Guards against a link that is dead without having ended."""
         while True:
             gevent.sleep(self.limits.kernel_silence_ms / 3000.0)
             if self._marks and unix_ms() - self._heard > self.limits.kernel_silence_ms:
-                outbox.close()
+                link.close()
 
     def _boot(self, notice: dict[str, Any]) -> None:
         started = unix_ms() - float(notice.get("time_ms", 0.0))
-        if self._booted is not None and started - self._booted > self.limits.same_boot_ms:
+        # Only a kernel younger than all that was heard of it before is a new one. Guards against a pause of
+        # this machine, which makes the same start look late.
+        newest = max(self._heard, (self._booted or 0.0) + self.limits.same_boot_ms)
+        if self._booted is not None and started > newest:
             # Guards against waiting for runs that died with the kernel they ran in.
             log.warning("the kernel started anew")
             self._last = 0
-            self._open = deque(command for command in self._open if not command.sent)
-            unsent = {command.rid for command in self._open}
+            self._doubtful.clear()
             for id, exchange in list(self.core.open.items()):
-                if exchange.started and not exchange.target and id not in unsent:
+                if exchange.started and not exchange.target and id not in self._open:
                     self.core.ended(id, Outcome.ERROR, 0.0)
         self._booted, self.up = started, True
         log.info("kernel up", status=notice.get("status"))
 
     def _sync(self) -> None:
-        """All replayed notices are handled: send what waited, repeat what may be repeated.
+        """All replayed notices are handled: send what waited, and again what may even run twice."""
+        waiting, self._open, self._ready = self._open, {}, True
+        self._repeat({rid: command for rid, command in self._doubtful.items() if command.harmless})
+        for command in waiting.values():
+            if command.rid in self.core.open:
+                self._send(command)
+
+    def _settle_doubts(self) -> None:
+        """Repeats what may be lost and must not run twice, once nothing has been heard of it for a while.
 
-        Guards against a second run: an order to start what must not run twice is never repeated."""
-        assert self._outbox
-        waiting, self._open = self._open, deque()
-        self._synced = True
-        for command in waiting:
+        A run that began has by then most likely ended or asked for a call, and its notice is read before the
+        mark's answer; while it runs, the repeat does nothing. Guards against a second run that a repeat sent
+        at once could cause by crossing the notice of its end."""
+        while True:
+            gevent.sleep(self.limits.doubt_ms / 1000.0)
+            if self._doubtful and self._ready:
+                self._mark("doubt")
+
+    def _repeat(self, commands: dict[str, Command]) -> None:
+        for command in commands.values():
+            del self._doubtful[command.rid]
             exchange = self.core.open.get(command.rid)
-            if command.sent and not command.repeatable:
-                if exchange:
-                    exchange.doubt = True
+            if exchange is None:
                 continue
-            if exchange is None or (command.sent and exchange.answer is not None):
+            if exchange.answer is not None:  # nobody needs it: its place is free again
+                self.core.counters.add("kernel.given_up")
+                self.core.ended(command.rid, Outcome.MOOT, 0.0)
                 continue
-            if command.sent:
-                self.core.counters.add("kernel.repeated")
-            command.sent = self._outbox.put(command.line)
-            self._open.append(command)
+            self.core.counters.add("kernel.repeated")
+            self._send(command)
 
-    def _notice(self, notice: dict[str, Any]) -> None:
-        kind = notice["t"]
+    def _unnumbered(self, notice: dict[str, Any]) -> None:
+        kind = notice.get("t")
         if kind == "INFO":
-            return self._info(notice)
-        if kind == "EINVAL":
+            self._info(notice)
+        elif kind == "EINVAL":
             self.core.counters.add("kernel.einval")
             log.error("command not carried out", command=notice.get("status"), rid=notice.get("rid"))
             if notice.get("status") == "SCHED":
-                self.core.ended(notice["rid"], Outcome.ERROR, 0.0)
-            return
-        number = int(notice.get("no", 0))
-        if number <= self._last:  # guards against handling a notice twice
-            return
-        self._last = number
-        if kind == "REAP":
-            self._settled(notice["rid"])
-            outcome = ENDS[notice["status"]]
-            result = None
-            if outcome is Outcome.OK:
-                result = Answer(Kind.SERVED, base64.b64decode(notice.get("b64", "")))
-            self.core.counters.add(f"kernel.{notice['status'].lower()}")
-            self.core.ended(notice["rid"], outcome, float(notice.get("time_ms", 0.0)), result)
-        elif kind == "IOREQ":
-            self._settled(notice["rid"])
-            self.core.call_needed(notice["rid"], base64.b64decode(notice.get("b64", "")))
+                self._settled(str(notice.get("rid")))
+                self.core.ended(str(notice.get("rid")), Outcome.ERROR, 0.0)
+
+    def _numbered(self, notice: dict[str, Any]) -> None:
+        kind, rid = notice.get("t"), str(notice.get("rid"))
+        try:
+            if kind == "REAP":
+                outcome = ENDS[notice["status"]]
+                elapsed, body = float(notice.get("time_ms", 0.0)), base64.b64decode(notice.get("b64", ""))
+                self._settled(rid)
+                self.core.counters.add(f"kernel.{notice['status'].lower()}")
+                result = Answer(Kind.SERVED, body) if outcome is Outcome.OK else None
+                self.core.ended(rid, outcome, elapsed, result)
+            elif kind == "IOREQ":
+                self._settled(rid)
+                self.core.call_needed(rid, base64.b64decode(notice.get("b64", "")))
+        except (KeyError, TypeError, ValueError) as error:  # guards the link against one odd notice
+            self.core.counters.add("kernel.bad_notice")
+            log.error("notice can't be read", error=f"{type(error).__name__}: {error}"[:200])
 
     def _settled(self, rid: str) -> None:
         """A notice of a run proves that what was sent for it was read."""
-        if any(command.rid == rid for command in self._open):
-            self._open = deque(command for command in self._open if command.rid != rid)
+        self._open.pop(rid, None)
+        self._doubtful.pop(rid, None)
 
     def _info(self, notice: dict[str, Any]) -> None:
-        mark = str(notice.get("mark", ""))
-        if mark not in self._marks:
+        mark, values = str(notice.get("mark", "")), notice.get("v")
+        newest = self._marks.pop(mark, None)
+        if newest is None:
             return
-        newest = self._marks.pop(mark)
-        if mark.startswith("sync"):
-            return self._sync()
-        self._values = [float(value) for value in notice["v"]]
-        self._values_at = unix_ms()
-        if newest is not None and any(command is newest for command in self._open):
-            while self._open.popleft() is not newest:
-                pass
+        for rid in [rid for rid, command in self._open.items() if 0 < command.sent <= newest]:
+            del self._open[rid]
+        kind = mark.partition("-")[0]
+        if kind == "sync":
+            self._sync()
+        elif kind == "doubt":
+            self._repeat(dict(self._doubtful))
+        elif kind == "move" and self._link:
+            self._link.close()
+        elif isinstance(values, list):
+            self._values, self._values_at = [float(value) for value in values], unix_ms()
--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 
 import gevent
 from gevent import socket
@@ -117,6 +118,8 @@
     def __init__(self, sock: socket.socket, most: int) -> None:
         self._sock, self._most = sock, most
         self._data = bytearray()
+        self._poll = select.poll()
+        self._poll.register(sock.fileno(), select.POLLIN)
 
     def exactly(self, size: int) -> bytes:
         """So many bytes."""
@@ -126,6 +129,14 @@
         del self._data[:size]
         return out
 
+    def pending(self) -> bool:
+        """Whether something is here that nobody has asked for yet: bytes, or the connection's end."""
+        return self.begun() or bool(self._poll.poll(0))
+
+    def begun(self) -> bool:
+        """Whether part of something has been read."""
+        return bool(self._data)
+
     def breathe(self) -> None:
         """Let others run if more is here already: guards them against one link that never pauses."""
         if self._data:
--- a/myrtlespar/net/roster.py
+++ b/myrtlespar/net/roster.py
@@ -8,8 +8,9 @@
 import httptools
 import structlog
 from gevent import socket
+from gevent.event import Event
 
-from myrtlespar.config import Config
+from myrtlespar.config import Address, Config
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.net.kernel import Kernel
 from myrtlespar.net.links import connect
@@ -42,15 +43,26 @@
     def __init__(self, config: Config, core: Core, kernel: Kernel) -> None:
         self.config, self.core, self.kernel, self.limits = config, core, kernel, config.limits
         self._sock: socket.socket | None = None
+        self._address = config.roster
+        self._moved = Event()
+
+    def move(self, address: Address) -> None:
+        """Report to another address from now on; a report on its way ends where it is."""
+        if address != self._address:
+            self._address = address
+            self._moved.set()
 
     def serve(self) -> None:
         """Report for good; a roster that is down is tried again at the next turn."""
         while True:
             began = unix_ms()
+            if self._moved.is_set():
+                self._moved.clear()
+                self._close()
             if self.kernel.up:
                 self.core.counters.add("roster.report" if self._report() else "roster.failed")
             wait = self.limits.report_every_ms if self.kernel.up else self.limits.reconnect_ms
-            gevent.sleep(max(0.01, (began + wait - unix_ms()) / 1000.0))
+            self._moved.wait(max(0.01, (began + wait - unix_ms()) / 1000.0))
 
     def _report(self) -> bool:
         duty = "off" if self.core.draining else "on"
@@ -67,7 +79,7 @@
     def _send(self, duty: str) -> bool:
         try:
             if self._sock is None:
-                self._sock = connect(self.config.roster, self.limits.connect_ms)
+                self._sock = connect(self._address, self.limits.connect_ms)
             self._sock.sendall(report(self.config.name, duty))
             reply = Reply()
             while not reply.done:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -77,6 +77,14 @@
         """host:port."""
         return f"127.0.0.1:{self.port}"
 
+    def relisten(self) -> None:
+        """Accept at a new address only."""
+        old, self.listener = self.listener, socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+        old.shutdown(socket.SHUT_RDWR)
+        old.close()
+
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
             while True:
@@ -121,7 +129,7 @@
         self.waits: dict[str, threading.Event] = {}
         self.running: set[str] = set()
         self.link: socket.socket | None = None
-        self.born, self.deaf = time.time(), False
+        self.born, self.deaf, self.mute = time.time(), False, False
         self.up = threading.Event()
         self.up.set()
         super().__init__()
@@ -137,7 +145,7 @@
 
     def tell(self, link: socket.socket | None, row: dict[str, Any]) -> None:
         with self.lock, contextlib.suppress(OSError):
-            if link is not None:
+            if link is not None and not self.mute:
                 link.sendall(json.dumps(row).encode() + b"\n")
 
     def open(self, link: socket.socket, command: dict[str, Any]) -> None:
@@ -244,7 +252,8 @@
             "name": "n3", "listen": "127.0.0.1:0", "kernel": self.kernel.address, "store": self.store.address,
             "roster": self.roster.address, "seed": "8c1f30d27a5be964", "stop_ms": 2500,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()}
-        (tmp / "config.json").write_text(json.dumps(self.config))
+        self.path = tmp / "config.json"
+        self.path.write_text(json.dumps(self.config))
         env = {**os.environ, "BALANCER_CONFIG": str(tmp / "config.json")}
         if operator:
             (tmp / "operator.toml").write_text(operator)
@@ -268,6 +277,14 @@
         """The last log line of this kind."""
         return next((row for row in reversed(self.log) if row["event"] == name), None)
 
+    def move(self) -> None:
+        """A new address for each neighbour, told by a reload. Open connections go on for a while."""
+        for name, part in (("kernel", self.kernel), ("store", self.store), ("roster", self.roster)):
+            part.relisten()
+            self.config[name] = part.address
+        self.path.write_text(json.dumps(self.config))
+        self.process.send_signal(signal.SIGHUP)
+
     def counters(self) -> dict[str, int]:
         """Ask for the counters."""
         seen = sum(row["event"] == "counters" for row in self.log)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import socket
 import struct
 import subprocess
@@ -148,9 +149,8 @@
     assert len(opens) >= 2 and opens[-1] == 2
 
 
-@pytest.mark.parametrize(("method", "starts", "kind"), [("order", 0, "failed"), ("render", 1, "success")])
-def test_an_order_lost_with_the_link_is_never_sent_again(server: Tile, method: str, starts: int,
-                                                         kind: str) -> None:
+@pytest.mark.parametrize("method", ["order", "render"])
+def test_what_was_lost_with_the_link_is_sent_again_and_runs_once(server: Tile, method: str) -> None:
     client = Client(server.ports[0])
     server.kernel.deaf = True
     time.sleep(0.1)
@@ -158,8 +158,69 @@
     time.sleep(0.1)
     server.kernel.deaf = False
     server.kernel.cut(server.kernel.link)
-    assert client.answer(seq)[0] == kind
-    assert server.kernel.by_body[b"lost"] == starts
+    assert client.answer(seq)[0] == "success"
+    assert server.kernel.by_body[b"lost"] == 1
+
+
+@pytest.mark.parametrize("body", [b"ms=1", b"ms=500"])
+def test_an_order_whose_link_broke_after_its_start_runs_once(server: Tile, body: bytes) -> None:
+    client = Client(server.ports[0])
+    server.kernel.mute = True  # reads and runs, but nothing it writes arrives
+    seq = client.send("order", body)
+    until(lambda: server.kernel.by_body[body])
+    server.kernel.mute = False
+    server.kernel.cut(server.kernel.link)
+    assert client.answer(seq)[0] == "success"
+    time.sleep(0.3)  # well past the time after which a silent order is sent again
+    assert server.kernel.by_body[body] == 1
+
+
+@pytest.mark.parametrize("odd", [
+    b"remark\n", b"[1]\n", b'{"t":"DMESG","status":"x"}\n', b'{"t":"INFO","v":7}\n'])
+def test_an_odd_line_of_the_kernel_changes_nothing(server: Tile, odd: bytes) -> None:
+    assert server.kernel.link
+    server.kernel.link.sendall(odd)
+    assert Client(server.ports[0]).ask("order", b"calls=1")[0] == "success"
+    assert len([row for row in server.kernel.commands if row["t"] == "OPEN"]) == 1
+
+
+def test_a_notice_lost_on_the_way_is_asked_for_again(server: Tile) -> None:
+    client = Client(server.ports[0])
+    server.kernel.mute = True
+    lost = client.send("order", b"ms=1")
+    until(lambda: server.kernel.notices)
+    server.kernel.mute = False
+    assert client.ask("fetch")[0] == client.answer(lost)[0] == "success"
+
+
+def test_a_reload_under_load_moves_every_link_and_loses_nothing(server: Tile) -> None:
+    client = Client(server.ports[0])
+    seqs: list[int] = []
+    for n in range(5):
+        seqs += [client.send(method, b"ms=40 calls=2") for method in ("order", "render")]
+        old = [*server.store.links, *server.roster.links]
+        server.move()
+        seqs += [client.send(method, b"ms=40 calls=2") for method in ("order", "render")]
+        until(lambda n=n: len([row for row in server.log if row["event"] == "kernel up"]) > n + 1)
+        time.sleep(0.3)
+        server.store.cut(*old)
+    assert [client.answer(seq)[0] for seq in seqs] == ["success"] * len(seqs)
+    assert set(server.kernel.starts.values()) == {1}
+    counts, reports = server.counters(), len(server.roster.reports)
+    assert not counts.get("kernel.repeated") and not counts.get("store.cut_off")
+    assert counts["reload.done"] == 5
+    until(lambda: len(server.roster.reports) > reports)
+
+
+@pytest.mark.parametrize(("text", "fault"), [
+    ("{", "BALANCER_CONFIG: not JSON"), ("{}", "settings.family_info: "),
+    (None, "kernel: expected HOST:PORT")])
+def test_a_faulty_file_at_a_reload_keeps_the_old_one(server: Tile, text: str | None, fault: str) -> None:
+    path = server.path
+    path.write_text(json.dumps({**server.config, "kernel": 7}) if text is None else text)
+    server.process.send_signal(signal.SIGHUP)
+    assert until(lambda: server.event("reload refused"))["error"].startswith(fault)
+    assert Client(server.ports[0]).ask("order", b"calls=1")[0] == "success"
 
 
 def test_a_kernel_that_starts_anew_fails_its_old_runs_at_once(server: Tile) -> None:
