Make room by closing idle connections; bound silent ones; read Thrift with checked lengths

A fuzz probe of the codec (frames with one to four bytes changed) ended the process by a segmentation fault within seconds: the library reads a text of negative length past its buffer (thriftpy2 binary.read_val over its C memory buffer); by reading its source, a list of 2^31 elements of unknown type keeps it busy for minutes. A connection that sends nothing or half a message was kept for good, and a bad message got no word until the answers owed on its connection were out. Lines at fault: listener.Listener._serve, thrift.decode, thrift.Link.read, ajp.Link.read. Ruled out: the library's C reader (cybin), three times as fast, was killed for its memory by the same fuzz probe.

--- a/myrtlespar/__main__.py
+++ b/myrtlespar/__main__.py
@@ -36,7 +36,8 @@
         fronts.append(AjpFront(config, core, config.ajp.listen))
 
     def close_idle(after_ms: float) -> None:
-        thrift.idle_ms = after_ms
+        for front in fronts:
+            front.idle_ms = after_ms
 
     def drain() -> None:
         if not core.draining:
--- a/myrtlespar/config.py
+++ b/myrtlespar/config.py
@@ -164,7 +164,8 @@
             raise ConfigError(f"settings.classes[{n}].effect: 'guarded' classes are not served on sockets")
     own = rows.table("limits")
     sockets = own.number("sockets", 1024, 64, 1e6)
-    limits = replace(Limits(), connections=int(sockets) - SPARE_DESCRIPTORS - Limits().store_links,
+    links = min(Limits().store_links, int(sockets) // 12)
+    limits = replace(Limits(), store_links=links, connections=int(sockets) - SPARE_DESCRIPTORS - links,
                      stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
     listen = env.get("BALANCER_LISTEN", "")
     seed = rows.text("seed", "0")
--- a/myrtlespar/net/ajp.py
+++ b/myrtlespar/net/ajp.py
@@ -9,17 +9,15 @@
 from hmac import compare_digest
 
 import gevent
-import structlog
 from gevent import socket
 
 from myrtlespar.config import Address, Config, PathRule
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.net import ajpwire as wire
-from myrtlespar.net.links import Closed, Outbox, Reader
+from myrtlespar.net.links import Closed, Outbox, Reader, Unfinished
 from myrtlespar.net.listener import Listener
 
-log = structlog.get_logger()
 SESSION = re.compile(r"jsessionid=[^;,\s]*?\.([A-Za-z0-9_-]+)(?:$|[;,\s?/])", re.I)
 HOP_HEADERS = ("connection", "transfer-encoding", "content-length", "keep-alive")
 
@@ -65,9 +63,15 @@
         self.outbox = Outbox(sock, front.limits.outbox_messages, front.limits.send_ms)
         self.reader = Reader(sock, front.limits.ajp_packet)
         self.state = IDLE
+        self.used = unix_ms()
+        self.messages = 0
         self.exchange: Exchange | None = None
         self.request = wire.Forward()
 
+    def owes(self) -> bool:
+        """Whether its request is not answered yet."""
+        return self.state != IDLE
+
     def read(self) -> None:
         """Take packets until the connection ends; whoever still waits then is gone."""
         try:
@@ -76,12 +80,11 @@
                 self.reader.breathe()
         except Closed:
             pass
-        except wire.BadPacket as error:
+        except (wire.BadPacket, Unfinished):
             self.core.counters.add("in.bad_message.ajp")
-            log.warning("bad packet", error=str(error))
             if self.state == READING:
                 self._reply(400)
-            self.outbox.finish()
+            self.front.conclude(self)
         except gevent.Timeout:  # guards against a gateway that begins a request and never ends it
             self.core.counters.add("in.slow_request.ajp")
         if self.outbox.ending:
@@ -99,6 +102,7 @@
 
     def _packet(self, payload: bytes) -> None:
         kind = payload[0] if payload else 0
+        self.used, self.messages = unix_ms(), self.messages + 1
         if kind == wire.CPING and len(payload) == 1:
             return self._ping()
         if kind in (wire.SHUTDOWN, wire.PING) and len(payload) == 1:
@@ -195,6 +199,7 @@
 
     def _reply(self, status: int, body: bytes = b"", rows: wire.Headers = ()) -> None:
         """A whole answer. After one to a request not read to its end, the connection can't go on."""
+        self.used = unix_ms()
         unread = self.request.header("content-length") or self.request.header("transfer-encoding")
         reuse = not self.core.draining and (self.state == OPEN or not unread)
         rows = (*rows, ("Content-Length", str(len(body))))
--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -17,6 +17,10 @@
     """The other side closed, or sent what can't be read."""
 
 
+class Unfinished(Exception):
+    """We stopped reading from a client that did not finish what it began."""
+
+
 class Outbox:
     """Messages for one socket, sent in order by one greenlet; `put` never blocks."""
 
@@ -118,6 +122,7 @@
     def __init__(self, sock: socket.socket, most: int) -> None:
         self._sock, self._most = sock, most
         self._data = bytearray()
+        self._stopped = False
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLIN)
 
@@ -129,6 +134,14 @@
         del self._data[:size]
         return out
 
+    def stop(self) -> None:
+        """Read no more."""
+        self._stopped = True
+        try:
+            self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass
+
     def pending(self) -> bool:
         """Whether something is here that nobody has asked for yet: bytes, or the connection's end."""
         return self.begun() or bool(self._poll.poll(0))
@@ -157,8 +170,11 @@
     def _more(self) -> None:
         try:
             data = self._sock.recv(65536)
-        except OSError as error:
-            raise Closed(str(error)) from None
+        except OSError as error:  # also a wait that was ended by `stop`
+            if not self._stopped:
+                raise Closed(str(error)) from None
+        if self._stopped:
+            raise Unfinished("nothing, or part of a message, in all the time for one")
         if not data:
             raise Closed("end of stream")
         self._data += data
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -10,14 +10,20 @@
 from gevent.server import StreamServer
 
 from myrtlespar.config import Address
-from myrtlespar.core import Core
-from myrtlespar.net.links import Outbox, accepted
+from myrtlespar.core import Core, unix_ms
+from myrtlespar.net.links import Outbox, Reader, accepted
 
 
 class ClientLink(Protocol):
     """One client's connection."""
 
     outbox: Outbox
+    reader: Reader
+    used: float  # when a message last came or went, in Unix milliseconds
+    messages: int  # whole ones read
+
+    def owes(self) -> bool:
+        """Whether a request on it is not answered yet."""
 
     def read(self) -> None:
         """Take messages until the connection ends."""
@@ -33,11 +39,14 @@
                  link: Callable[[socket.socket], Link]) -> None:
         self.name, self.core, self.most, self.link = name, core, most, link
         self.links: set[Link] = set()
+        self.idle_ms = 0.0  # the module's wish; 0 leaves it to the clients
+        self._unfinished: dict[Link, tuple[int, float]] = {}  # messages read, time without more
         self._server = StreamServer(address, self._serve, backlog=512)
 
     def start(self) -> None:
         """Listen."""
         self._server.start()
+        gevent.spawn(self._look)
 
     @property
     def port(self) -> int:
@@ -54,8 +63,50 @@
             link.outbox.finish()
         gevent.joinall([gevent.spawn(link.outbox.drained, timeout) for link in list(self.links)], timeout)
 
+    def _look(self) -> None:
+        """Close what is idle for longer than the module wants, and what is silent or stops within a message.
+
+        Counted in looks, so that a pause of the machine ends nobody's time."""
+        limits = self.core.limits
+        while True:
+            gevent.sleep(limits.idle_look_ms / 1000.0)
+            now, before, self._unfinished = unix_ms(), self._unfinished, {}
+            for link in list(self.links):
+                if self.idle_ms > 0 and now - link.used > self.idle_ms and not link.owes():
+                    self.close_idle(link)
+                elif not link.messages or link.reader.begun():
+                    messages, waited = before.get(link, (link.messages, 0.0))
+                    waited = waited + limits.idle_look_ms if messages == link.messages else 0.0
+                    self._unfinished[link] = (link.messages, waited)
+                    if waited >= limits.message_ms:  # guards places against clients that finish no message
+                        self.core.counters.add(f"in.unfinished.{self.name}")
+                        del self._unfinished[link]
+                        link.reader.stop()
+
+    def close_idle(self, link: Link) -> None:
+        """Close a connection that carries nothing."""
+        self.core.counters.add(f"in.idle_closed.{self.name}")
+        self.links.discard(link)
+        link.outbox.finish()
+
+    def conclude(self, link: Link) -> None:
+        """End a connection of which no more is read, once it has what it is owed."""
+        while link.owes() and not link.outbox.closed:
+            gevent.sleep(0.02)
+        link.outbox.finish()
+        link.outbox.drained(self.core.limits.send_ms / 1000.0)
+
+    def _make_room(self) -> bool:
+        """Guards real clients against connections that hold all places and carry nothing: the idlest goes."""
+        if len(self.links) < self.most:
+            return True
+        idle = min((link for link in self.links if not link.owes()), key=lambda link: link.used, default=None)
+        if idle is not None:
+            self.close_idle(idle)
+        return idle is not None
+
     def _serve(self, sock: socket.socket, _: Any) -> None:
-        if len(self.links) >= self.most:  # guards against running out of descriptors
+        if not self._make_room():  # guards against running out of descriptors
             self.core.counters.add(f"in.connection_refused.{self.name}")
             return
         accepted(sock, self.core.limits)
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -2,67 +2,27 @@
 
 from __future__ import annotations
 
-import struct
-from pathlib import Path
 from typing import Any
 
-import gevent
-import structlog
-import thriftpy2
 from gevent import socket
-from thriftpy2.protocol.binary import TBinaryProtocol
-from thriftpy2.thrift import TApplicationException, TMessageType
-from thriftpy2.transport import TMemoryBuffer
 
 from myrtlespar.config import Config
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.exchange import Answer, Exchange, Kind
-from myrtlespar.net.links import Closed, Outbox, Reader
+from myrtlespar.net import thriftwire as wire
+from myrtlespar.net.links import Closed, Outbox, Reader, Unfinished
 from myrtlespar.net.listener import Listener
+from myrtlespar.net.thriftwire import PROTOCOL_ERROR, UNKNOWN_METHOD, BadMessage, idl
 
-log = structlog.get_logger()
-idl: Any = thriftpy2.load(str(Path(__file__).parent / "front.thrift"), module_name="front_thrift")
-UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7
 
-
-class BadMessage(Exception):
-    """A message that can't be read, or that asks for nothing we know."""
-
-
-def encode(name: str, kind: int, seq: int, body: Any) -> bytes:
-    """A whole frame."""
-    buffer = TMemoryBuffer()
-    out = TBinaryProtocol(buffer, strict_write=True)
-    out.write_message_begin(name, kind, seq)
-    out.write_struct(body)
-    out.write_message_end()
-    data: bytes = buffer.getvalue()
-    return struct.pack(">I", len(data)) + data
-
-
-def decode(frame: bytes) -> tuple[str, int, int, Any]:
-    """Name, type, sequence number and, for a known method, its arguments."""
-    protocol = TBinaryProtocol(TMemoryBuffer(frame), strict_read=True)
-    try:
-        name, kind, seq = protocol.read_message_begin()
-        shape = getattr(idl.Front, f"{name}_args", None) if name in idl.Front.thrift_services else None
-        if shape is None:
-            return str(name), kind, seq, None
-        args = shape()
-        protocol.read_struct(args)
-    except Exception as error:  # the library raises errors of many kinds on bytes that are no message
-        raise BadMessage(f"{type(error).__name__}: {error}") from None
-    return name, kind, seq, args
-
-
-def _text(fields: dict[Any, Any], name: str) -> str:
-    value = fields.get(name, "")
-    if not isinstance(value, str):
+def _text(fields: dict[bytes, Any], name: str) -> str:
+    value = fields.get(name.encode(), b"")
+    if not isinstance(value, bytes) or not value.isascii():
         raise BadMessage(f"field {name} is no text")
-    return value
+    return value.decode()
 
 
-def _number(fields: dict[Any, Any], name: str, default: float, low: float, high: float) -> float:
+def _number(fields: dict[bytes, Any], name: str, default: float, low: float, high: float) -> float:
     text = _text(fields, name)
     try:
         value = float(text) if text else default
@@ -79,28 +39,14 @@
     def __init__(self, config: Config, core: Core) -> None:
         self.config, self.limits = config, config.limits
         self.classes = {name: n for n, name in enumerate(config.class_names)}
-        self.idle_ms = 0.0
         most = self.limits.connections * 3 // 4 if config.ajp.listen else self.limits.connections
         super().__init__("thrift", config.listen, core, most, lambda sock: Link(self, sock))
 
-    def start(self) -> None:
-        """Listen."""
-        super().start()
-        gevent.spawn(self._close_idle)
-
     def drain(self) -> None:
         """Ask every client to send nothing new on its open connections."""
         for link in [link for link in self.links if not link.told]:
             link.told = True
-            link.outbox.put(encode("shutdown", TMessageType.ONEWAY, 0, idl.Front.ping_args()))
-
-    def _close_idle(self) -> None:
-        while True:
-            gevent.sleep(self.limits.idle_look_ms / 1000.0)
-            now = unix_ms()
-            for link in list(self.links):
-                if self.idle_ms > 0 and not link.open and now - link.used > self.idle_ms:
-                    link.outbox.finish()
+            link.outbox.put(wire.encode("shutdown", wire.ONEWAY, 0, idl.Front.ping_args()))
 
 
 class Link:
@@ -112,26 +58,28 @@
         self.reader = Reader(sock, front.limits.frame_bytes)
         self.open: dict[int, Exchange] = {}
         self.used = unix_ms()
+        self.messages = 0
         self.told = False  # that nothing new is to be sent here
 
+    def owes(self) -> bool:
+        """Whether a request on it is not answered yet."""
+        return bool(self.open)
+
     def read(self) -> None:
         """Take frames until the connection ends; whoever still waits then is gone."""
         try:
             while True:
-                size = struct.unpack(">I", self.reader.exactly(4))[0]
+                size = int.from_bytes(self.reader.exactly(4), "big")
                 if not 0 < size <= self.front.limits.frame_bytes:  # guards against a length that fills memory
                     raise BadMessage(f"frame of {size} bytes")
                 self._frame(self.reader.exactly(size))
                 self.reader.breathe()
         except Closed:
             pass
-        except BadMessage as error:
+        except (BadMessage, Unfinished) as error:
             self.core.counters.add("in.bad_message.thrift")
-            log.warning("bad message", error=str(error))
-            while self.open and not self.outbox.closed:  # guards answers owed on a link that then turned bad
-                gevent.sleep(0.02)
-            self.outbox.finish()
-            self.outbox.drained(self.front.limits.send_ms / 1000.0)
+            self._except("invoke", 0, PROTOCOL_ERROR, str(error)[:200])  # answers owed come behind it
+            self.front.conclude(self)
         self.outbox.close()
         for exchange in list(self.open.values()):
             self.core.gone(exchange)
@@ -139,27 +87,29 @@
 
     def _frame(self, frame: bytes) -> None:
         self.used = unix_ms()
-        name, kind, seq, args = decode(frame)
-        if kind not in (TMessageType.CALL, TMessageType.ONEWAY):
+        self.messages += 1
+        message = wire.decode(frame)
+        name, kind, seq = message.name, message.kind, message.seq
+        if kind not in (wire.CALL, wire.ONEWAY):
             raise BadMessage(f"message type {kind}")
-        if args is None:
-            if kind == TMessageType.CALL:
+        if message.args is None:
+            if kind == wire.CALL:
                 self._except(name, seq, UNKNOWN_METHOD, "unknown method")
         elif name == "invoke":
-            self._invoke(seq, args)
+            self._invoke(seq, message)
         elif name == "ping":
             self.core.counters.add("in.check.thrift")
             answer = idl.Answer(body=b"", fields=self._fields(), good=self.core.healthy)
-            self.outbox.put(encode("ping", TMessageType.REPLY, seq, idl.Front.ping_result(success=answer)))
-        elif (exchange := self.open.pop(args.seqid, None)) is not None:
+            self.outbox.put(wire.encode("ping", wire.REPLY, seq, idl.Front.ping_result(success=answer)))
+        elif (exchange := self.open.pop(message.get(1, wire.I32, 0), None)) is not None:
             self.core.counters.add("in.abort.thrift")
             self.core.gone(exchange)
 
-    def _invoke(self, seq: int, args: Any) -> None:
+    def _invoke(self, seq: int, message: wire.Message) -> None:
         if seq in self.open:  # guards against two open requests that no answer could tell apart
             raise BadMessage(f"sequence number {seq} is in use")
         try:
-            exchange = self._exchange(seq, args.fields or {}, args.body or b"")
+            exchange = self._exchange(seq, message.get(1, wire.MAP, {}), message.get(2, wire.STRING, b""))
         except BadMessage as error:
             self.core.counters.add("in.bad_request.thrift")
             return self._except("invoke", seq, PROTOCOL_ERROR, str(error))
@@ -172,8 +122,7 @@
             del self.open[seq]
             self._except("invoke", seq, PROTOCOL_ERROR, "rid is in use")
 
-    def _exchange(self, seq: int, fields: dict[Any, Any], body: Any) -> Exchange:
-        body = body.encode() if isinstance(body, str) else body
+    def _exchange(self, seq: int, fields: dict[bytes, Any], body: bytes) -> Exchange:
         cls, rid = self.front.classes.get(_text(fields, "method")), _text(fields, "rid")
         if cls is None:
             raise BadMessage("unknown class in field method")
@@ -211,7 +160,7 @@
         return {"hint": f"{self.core.value:.4f}", **(more or {})}
 
     def _reply(self, seq: int, result: Any) -> None:
-        self.outbox.put(encode("invoke", TMessageType.REPLY, seq, result))
+        self.outbox.put(wire.encode("invoke", wire.REPLY, seq, result))
 
     def _except(self, name: str, seq: int, kind: int, text: str) -> None:
-        self.outbox.put(encode(name, TMessageType.EXCEPTION, seq, TApplicationException(kind, text)))
+        self.outbox.put(wire.exception(name, seq, kind, text))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -22,7 +22,7 @@
 from thriftpy2.thrift import TMessageType
 from thriftpy2.transport import TMemoryBuffer
 
-from myrtlespar.net.thrift import encode, idl
+from myrtlespar.net.thriftwire import encode, idl
 
 ROOT = Path(__file__).parent.parent
 CLASSES = [("render", "free", 2400.0, 6100.0, 1.0), ("fetch", "free", 1100.0, 2700.0, 2.0),
@@ -246,12 +246,12 @@
 class Tile:
     """The program, with a stand-in for each neighbour."""
 
-    def __init__(self, tmp: Path, operator: str = "", late_kernel: bool = False) -> None:
+    def __init__(self, tmp: Path, operator: str = "", late_kernel: bool = False, sockets: int = 1024) -> None:
         self.kernel, self.store, self.roster = Kernel(), Store(), Roster()
         self.config = {
             "name": "n3", "listen": "127.0.0.1:0", "kernel": self.kernel.address, "store": self.store.address,
             "roster": self.roster.address, "seed": "8c1f30d27a5be964", "stop_ms": 2500,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()}
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings()}
         self.path = tmp / "config.json"
         self.path.write_text(json.dumps(self.config))
         env = {**os.environ, "BALANCER_CONFIG": str(tmp / "config.json")}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -62,19 +62,53 @@
     assert client.ask("fetch")[0] == "success"
 
 
+def invoke(fields: bytes) -> bytes:
+    """A request whose arguments are these bytes."""
+    frame = b"\x80\x01\x00\x01\x00\x00\x00\x06invoke\x00\x00\x00\x09" + fields
+    return struct.pack(">I", len(frame)) + frame
+
+
 @pytest.mark.parametrize("data", [
-    struct.pack(">I", 1 << 31), struct.pack(">I", 0), struct.pack(">I", 8) + b"nonsense",
-    struct.pack(">I", 20) + b"\x80\x01\x00\x01" + struct.pack(">I", 1 << 30) + b"x" * 12])
+    struct.pack(">I", 1 << 31) + b"x" * 9, struct.pack(">I", 0) + b"x" * 9,
+    struct.pack(">I", 8) + b"nonsense",
+    struct.pack(">I", 20) + b"\x80\x01\x00\x01" + struct.pack(">I", 1 << 30) + b"x" * 12,
+    struct.pack(">I", 9) + b"\x80\x01",  # begun and never finished
+    invoke(b"\x0b\x00\x02\xff\xff\xff\x00"),  # a text of negative length
+    invoke(b"\x0f\x00\x07\x01\x7f\xff\xff\xff"),  # a long list of elements that take no bytes
+    invoke(b"\x0d\x00\x01\x0b\x0b\xff\xff\xff\xff"),  # a map of negative size
+    invoke(b"\x0c\x00\x07" * 5000), invoke(b"\x0f\x00\x07" + b"\x0f\x00\x00\x00\x01" * 5000)])
 def test_bytes_that_are_no_message_close_only_their_link(server: Tile, data: bytes) -> None:
     client = Client(server.ports[0])
-    open_one = client.send("render", b"ms=200")
+    open_one = client.send("render", b"ms=3000" if len(data) < 10 else b"ms=400")
     until(lambda: server.kernel.starts)
     client.sock.sendall(data)
+    assert client.answer(0)[0] == "exception" and open_one not in client.answers  # told before it is closed
     assert client.answer(open_one)[0] == "success"
     assert client.ended.wait(20)
     assert Client(server.ports[0]).ask("fetch")[0] == "success"
 
 
+def test_a_silent_connection_is_closed_and_one_that_asked_once_is_kept(server: Tile) -> None:
+    asked, silent = Client(server.ports[0]), Client(server.ports[0])
+    assert asked.ask("fetch")[0] == "success"
+    assert silent.ended.wait(20) and silent.answers[0][0] == "exception"
+    assert asked.ask("fetch")[0] == "success"
+
+
+def test_idle_connections_make_room_and_open_requests_keep_theirs(tmp_path: Path) -> None:
+    with tile(tmp_path, sockets=100) as running:
+        busy = Client(running.ports[0])
+        answer = busy.send("order", b"ms=1500")
+        until(lambda: running.kernel.starts)
+        idle = []
+        for _ in range(44):
+            idle.append(Client(running.ports[0]))
+            assert idle[-1].ask("fetch")[0] == "success"
+        assert idle[0].ended.wait(20) and not idle[-1].ended.is_set()
+        assert busy.answer(answer)[0] == "success" and not busy.ended.is_set()
+        assert running.counters()["in.idle_closed.thrift"] == 1
+
+
 def test_unknown_method_is_named_and_33rd_open_request_is_refused(server: Tile) -> None:
     sock = socket.create_connection(("127.0.0.1", server.ports[0]))
     body = b"\x80\x01\x00\x01" + struct.pack(">I", 4) + b"moon" + struct.pack(">I", 7) + b"\0"
