Never ask callers for less than half their traffic; call backoff follows the aims

Client proxies told 1 - level sent nothing (0.6 to 0.7 attempts a request, few turned away here), heard nothing better until the value expired, then sent all at once. Line at fault: decide._move_level, which let the level reach 1. The first wait before a call that never ran is made again was 100 ms whatever the aims; here the tightest is 350 ms. It follows them now, as do trials.

--- a/myrtlespar/decide.py
+++ b/myrtlespar/decide.py
@@ -31,6 +31,7 @@
 HOLD_PART = 0.35  # part of the memory that held requests may take, so that runs find room
 MEMORY_PART = 0.98  # part of the memory used at all; the rest is rounding
 LEVEL_RISE, LEVEL_FALL = 0.5, 0.25  # level a second, per unit of excess wait and below A
+LEVEL_MOST = 0.5  # told less, callers stop sending and hear no better: all servers idle and flood in turns
 CALLS_PART = 0.6  # part of the share of calls in hand that their mean may use; at a moment all of it may
 DEPENDENCY_BAD = 0.5  # part of calls failing at which the call is skipped where that has worth
 RUNS_BAD = 0.5  # part of own runs failing from which on others serve a request better
@@ -48,6 +49,7 @@
 UNREAD_PART = 0.5  # part of the cores that runs may take while arrivals wait unread past O
 HABITS = 4  # waits of a class that are remembered at a time
 RARE = 0.2  # part of the commonest wait's count below which a wait is no first try's
+USUAL_AIM = 1100.0  # ms; where the tightest aim is shorter, call backoff and trials follow it
 LOG_LINES = 150  # lines an instance may print in its life
 
 NEW, HELD, ASIDE, LATE, JOINED, RUNNING, AT_CALL, CALLING, OVER = range(9)
@@ -93,6 +95,7 @@
         self.hint_mean = [math.nan] * len(settings.classes)
         self.hint_spread, self.hint_cost = 1.0, 0.0  # of log hints; of them with log costs
         self.at_call: deque[Job] = deque()
+        self.scale = max(0.01, min(1.0, min(c.aim_ms for c in settings.classes) / USUAL_AIM))
         part = INNER_AIM if settings.tier > 0 else 1.0
         self.aim = [c.aim_ms * part for c in settings.classes]
         self.usual = [FIRST_COST * aim for aim in self.aim]
@@ -336,7 +339,7 @@
         So is what a slow server would start too late while others may have room: see `_others_may`."""
         keyed = self.s.classes[job.cls].effect is Effect.KEYED
         need = self.memory + (self.s.key_kb if keyed else 0.0)
-        sick = self.failing > RUNS_BAD and self.now - self.last_try < PROBE_MS
+        sick = self.failing > RUNS_BAD and self.now - self.last_try < PROBE_MS * self.scale
         full = need > self.s.memory_kb * MEMORY_PART or self.held_kb > self.s.memory_kb * HOLD_PART
         barred = self.stalled or job.arrived > self.drain_at + self.s.drain_grace_ms - self.s.round_ms
         if full:
@@ -626,7 +629,7 @@
             self._skip(job)
         elif event.outcome in NEVER_RAN or kind.effect is Effect.SAFE:
             job.tries += 1
-            job.retry_at = self.now + CALL_BACKOFF_MS * 2 ** job.tries
+            job.retry_at = self.now + CALL_BACKOFF_MS * self.scale * 2 ** job.tries
             self.at_call.append(job)
         else:
             self._fail(job)
@@ -674,7 +677,7 @@
                 limit = min(limit, self.call_ms[job.cls] / max(0.01, self.calls_failed))
             if 0 < share < self.cores:  # guards against calls that fill so small a share
                 limit = min(limit, CALLS_PART * share * self.s.calls_over_ms / self.cores)
-            off = self.cut_off and self.now - self.last_trial <= PROBE_MS
+            off = self.cut_off and self.now - self.last_trial <= PROBE_MS * self.scale
             if off or limit < self.call_ms[job.cls] or not self._room_to_call(self.cores):
                 self._skip(job)
                 return True
@@ -762,14 +765,15 @@
     def _move_level(self, step: float) -> None:
         """Up past O, down below A; where ranks no longer tell worth apart, cheap work alone moves it up."""
         mark, worths = self._overload_mark(), [c.worth for c in self.s.classes]
+        seconds = step / 1000
         useful = sum(worth < max(worths) for worth in worths) / len(worths)
         blind = self.s.signal is Signal.LEVEL and self.level >= useful
         pressure = self._wait(with_aside=False) - self.unread_ms if blind else self._wait()
         if pressure > mark:
-            self.level += LEVEL_RISE * step / 1000 * min(2.0, pressure / mark - 1)
+            self.level += LEVEL_RISE * seconds * min(2.0, pressure / mark - 1)
         elif pressure < ABATE_AT * mark:
-            self.level -= LEVEL_FALL * step / 1000
-        self.level = max(0.0, min(self.level, 1.0))
+            self.level -= LEVEL_FALL * seconds
+        self.level = max(0.0, min(self.level, LEVEL_MOST))
 
     def _allowance(self) -> float:
         """Requests each caller may have here: runs, calls and what can wait under O, split by use."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,5 +1,7 @@
 """The mechanism of the design, part by part."""
 
+import pytest
+
 from myrtlespar import interface as api
 from myrtlespar.interface import Outcome
 from tests.helpers import Server, answers
@@ -129,6 +131,25 @@
     assert server.said(api.Advertise)[-1].value < 0.1
 
 
+def test_callers_are_never_asked_for_less_than_half_their_usual_traffic() -> None:
+    server = overloaded(signal=api.Signal.WEIGHT)
+    for step in range(40):
+        server.at(600 + 100 * step, api.Arrival(f"more {step}", 0, 20.0))
+    assert min(a.value for a in server.said(api.Advertise)) == 0.5
+
+
+@pytest.mark.parametrize(("aim", "again"), [(2000.0, 100.0), (275.0, 25.0)])
+def test_a_call_that_never_ran_is_made_again_sooner_for_short_aims(aim: float, again: float) -> None:
+    server = Server(classes=[api.RequestClass(aim_ms=aim, give_up_ms=6000, calls=True)])
+    server.arrive(10, "a")
+    server.at(20, api.CallNeeded("a"))
+    server.at(30, api.CallEnded("a", Outcome.REJECTED, 5))
+    server.at(29 + again, api.Tick(1))
+    assert len(server.said(api.Call, "a")) == 1
+    server.at(31 + again, api.Tick(1))
+    assert len(server.said(api.Call, "a")) == 2
+
+
 def test_credit_is_advertised_and_closed_on_drain() -> None:
     server = Server(signal=api.Signal.CREDIT, senders=3)
     server.at(200)
