--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -17,6 +17,7 @@
     connections: int = 900  # clients' connections at a time, over all fronts
     open_requests: int = 32  # on one connection
     outbox_messages: int = 256  # unsent answers of one client's connection; more means it does not read
+    accept_at_once: int = 8  # connections accepted before their greenlets run
     message_ms: float = 2000.0  # for a client's first message, and for each from its first byte to its last
     send_buffer: int = 131072  # the system's, for one client's connection
     kernel_outbox: int = 8192  # unsent commands to the kernel
--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -4,10 +4,10 @@
 
 import os
 import select
+from collections import deque
 
 import gevent
-from gevent import socket
-from gevent.queue import Full, Queue
+from gevent import Greenlet, socket
 
 from myrtlespar.config import Address
 from myrtlespar.limits import Limits
@@ -22,19 +22,19 @@
 
 
 class Outbox:
-    """Messages for one socket, sent in order by one greenlet; `put` never blocks."""
+    """Messages for one socket, sent in order; `put` never blocks. A greenlet sends what does not fit."""
 
     def __init__(self, sock: socket.socket, size: int, send_ms: float) -> None:
-        self._sock, self._send_s = sock, send_ms / 1000.0
-        self._queue: Queue[bytes | None] = Queue(maxsize=size)
-        self.closed = self.ending = self._sending = False
-        self._writer = gevent.spawn(self._write)
+        self._sock, self._size, self._send_s = sock, size, send_ms / 1000.0
+        self._queue: deque[bytes] = deque()
+        self._writer: Greenlet | None = None
+        self.closed = self.ending = False
 
     def put(self, data: bytes) -> bool:
         """Send this when its turn comes. False: the link is closed, or its peer does not read."""
         if self.closed or self.ending:
             return False
-        if not self._sending and self._queue.empty():  # most messages fit the socket: no switch, no wait
+        if self._writer is None:  # most messages fit the socket: no switch, no wait
             try:
                 data = data[os.write(self._sock.fileno(), data):]
             except BlockingIOError:
@@ -44,21 +44,18 @@
                 return False
             if not data:
                 return True
-        try:
-            self._queue.put_nowait(data)
-        except Full:  # guards against a peer that stops reading: its answers may not fill our memory
+            self._writer = gevent.spawn(self._write)
+        if len(self._queue) >= self._size:  # guards our memory against a peer that stops reading
             self.close()
             return False
+        self._queue.append(data)
         return True
 
     def finish(self) -> None:
         """Close once all is sent."""
-        if not self.ending and not self.closed:
-            self.ending = True
-            try:
-                self._queue.put_nowait(None)
-            except Full:
-                self.close()
+        self.ending = True
+        if self._writer is None:
+            self.close()
 
     def close(self) -> None:
         """Close at once; the reader of the socket sees its end."""
@@ -68,31 +65,27 @@
                 self._sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
-            self._writer.kill(block=False)
+            if self._writer is not None:
+                self._writer.kill(block=False)
 
     def drained(self, timeout: float) -> None:
         """Wait until all is sent."""
-        self._writer.join(timeout)
+        if self._writer is not None:
+            self._writer.join(timeout)
 
     def _write(self) -> None:
         try:
-            while (data := self._queue.get()) is not None:
-                self._sending = True
-                while not self._queue.empty() and len(data) < 65536:  # one send for what waits already
-                    more = self._queue.get()
-                    if more is None:
-                        self._send(data)
-                        return self.close()
-                    data += more
-                self._send(data)
-                self._sending = False
+            while self._queue:
+                data = self._queue.popleft()
+                while self._queue and len(data) < 65536:  # one send for what waits already
+                    data += self._queue.popleft()
+                with gevent.Timeout(self._send_s, TimeoutError):  # guards against a window that stays shut
+                    self._sock.sendall(data)
         except OSError:
-            pass
-        self.close()
-
-    def _send(self, data: bytes) -> None:
-        with gevent.Timeout(self._send_s, TimeoutError):  # guards against a peer that keeps its window shut
-            self._sock.sendall(data)
+            self.close()
+        self._writer = None
+        if self.ending:
+            self.close()
 
 
 def connect(address: Address, timeout_ms: float) -> socket.socket:
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -42,6 +42,8 @@
         self.idle_ms = 0.0  # the module's wish; 0 leaves it to the clients
         self._unfinished: dict[Link, tuple[int, float]] = {}  # messages read, time without more
         self._server = StreamServer(address, self._serve, backlog=512)
+        # Guards descriptors against a crowd that is accepted before room was made for it.
+        self._server.max_accept = core.limits.accept_at_once
 
     def start(self) -> None:
         """Listen."""
