Read store connections all the time; EINVAL is no failing run; bound outboxes and places

A connection's end is now seen while it is idle too, calls need no greenlet of their own, and their time limits are one look for all. Seen in the source: a command of an id unknown to the kernel ended as a failed run; about five of them running made the module refuse all but a trial now and then. Line at fault: kernel._unnumbered. The new test fails without it. Outboxes counted messages (256 of 4 KB each a connection), frames could be 64 KB and memory_mb was not read: bounds are in bytes now, and places follow memory and descriptors. Log lines of what comes in floods are thinned out. Tried and withdrawn: 3 ms of pause after each message that can't be taken. A connection with 500 such messages running is closed.

--- a/myrtlespar/config.py
+++ b/myrtlespar/config.py
@@ -17,6 +17,8 @@
 
 Address = tuple[str, int]
 SPARE_DESCRIPTORS = 48  # for the links of the server side, listeners, log and event loop
+BASE_MB = 22.0  # what the program takes with a few connections
+CONNECTION_KB = 24.0  # what one connection may add: its greenlet, and part of a message
 
 
 class ConfigError(Exception):
@@ -164,8 +166,11 @@
             raise ConfigError(f"settings.classes[{n}].effect: 'guarded' classes are not served on sockets")
     own = rows.table("limits")
     sockets = own.number("sockets", 1024, 64, 1e6)
+    memory_kb = 1024 * own.number("memory_mb", 192, BASE_MB + 1, 1e6)
     links = min(Limits().store_links, int(sockets) // 12)
-    limits = replace(Limits(), store_links=links, connections=int(sockets) - SPARE_DESCRIPTORS - links,
+    room = int((memory_kb - 1024 * BASE_MB) / CONNECTION_KB)
+    places = min(int(sockets) - SPARE_DESCRIPTORS - links, room)
+    limits = replace(Limits(), store_links=links, connections=places,
                      stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
     listen = env.get("BALANCER_LISTEN", "")
     seed = rows.text("seed", "0")
--- a/myrtlespar/counters.py
+++ b/myrtlespar/counters.py
@@ -15,6 +15,11 @@
         """Count something."""
         self._counts[name] += by
 
+    def rare(self, name: str) -> bool:
+        """Count something that may come in floods; whether it is worth a line of the log."""
+        self._counts[name] += 1
+        return self._counts[name] <= 20 or self._counts[name] % 100 == 0
+
     def report(self) -> dict[str, int]:
         """All counts so far, by name."""
         return dict(sorted(self._counts.items()))
--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -13,14 +13,15 @@
 
     body_bytes: int = 2048  # of a request
     result_bytes: int = 4096  # of an answer
-    frame_bytes: int = 65536  # of one message on any link; more closes the connection
+    frame_bytes: int = 16384  # of one message of a client; more closes the connection
     connections: int = 900  # clients' connections at a time, over all fronts
     open_requests: int = 32  # on one connection
-    outbox_messages: int = 256  # unsent answers of one client's connection; more means it does not read
+    outbox_bytes: int = 65536  # unsent answers of one client's connection; more means it does not read
     accept_at_once: int = 8  # connections accepted before their greenlets run
+    bad_most: int = 500  # messages running that can't be taken; then the connection ends
     message_ms: float = 2000.0  # for a client's first message, and for each from its first byte to its last
     send_buffer: int = 131072  # the system's, for one client's connection
-    kernel_outbox: int = 8192  # unsent commands to the kernel
+    kernel_outbox: int = 1 << 20  # unsent bytes of commands to the kernel
     send_ms: float = 5000.0  # one client may block a send for so long
 
     connect_ms: float = 1000.0
@@ -32,9 +33,10 @@
     gauge_age_ms: float = 500.0  # older gauges are not passed on
     store_links: int = 32  # connections to the store, each with one call at a time
     store_calls: int = 2048  # calls in hand and waiting for a connection
-    store_trust_ms: float = 400.0  # a connection idle for longer may be forgotten by the store
+    store_trust_ms: float = 80.0  # a connection idle for longer may be forgotten by the store
     store_served: int = 8  # latest requests of a connection, whose calls it may still answer again
-    store_strays: int = 16  # replies to others that are passed over before one's own
+    store_outbox: int = 65536  # unsent bytes of one connection
+    store_look_ms: float = 20.0  # between looks for calls that are out of time
     store_grace_ms: float = 60.0  # past a call's time until it is taken for timed out
     report_every_ms: float = 1000.0  # to the roster; it forgets after 3 s
     report_ms: float = 900.0  # one report may take so long
@@ -54,6 +56,7 @@
     followers: int = 8  # repeats waiting for one run
 
     ajp_packet: int = 8192
+    ajp_outbox: int = 1 << 19  # unsent bytes of one gateway's connection: a whole answer of a worker fits
     ajp_header_ms: float = 10000.0  # to finish a request that has begun
     ajp_reply_bytes: int = 262144  # of a worker's answer
     worker_idle: int = 8  # idle connections kept to one AJP worker
--- a/myrtlespar/net/ajp.py
+++ b/myrtlespar/net/ajp.py
@@ -60,11 +60,12 @@
 
     def __init__(self, front: AjpFront, sock: socket.socket) -> None:
         self.front, self.core, self.limits = front, front.core, front.limits
-        self.outbox = Outbox(sock, front.limits.outbox_messages, front.limits.send_ms)
+        self.outbox = Outbox(sock, front.limits.ajp_outbox, front.limits.send_ms)
         self.reader = Reader(sock, front.limits.ajp_packet)
         self.state = IDLE
         self.used = unix_ms()
         self.messages = 0
+        self.bad = 0  # requests running that could not be taken
         self.exchange: Exchange | None = None
         self.request = wire.Forward()
 
@@ -76,7 +77,12 @@
         """Take packets until the connection ends; whoever still waits then is gone."""
         try:
             while not self.outbox.ending:
+                before = self.bad
                 self._packet(self._next())
+                if self.bad == before:
+                    self.bad = 0
+                elif self.bad >= self.limits.bad_most:  # guards the core's time against a flood
+                    raise wire.BadPacket("too many requests that could not be taken")
                 self.reader.breathe()
         except Closed:
             pass
@@ -131,9 +137,11 @@
         secret = self.front.ajp.secret
         if secret and not compare_digest(self.request.attributes.get("secret", "").encode(), secret.encode()):
             self.core.counters.add("in.wrong_secret.ajp")
+            self.bad += 1
             self._reply(403)
             return False
         if self.front.rule(self.request.uri) is None:
+            self.bad += 1
             self._reply(404)
             return False
         return True
--- a/myrtlespar/net/kernel.py
+++ b/myrtlespar/net/kernel.py
@@ -42,6 +42,7 @@
         self.config, self.core, self.limits = config, core, config.limits
         self.up = False
         self._address = config.kernel
+        self._routes = [json.dumps(name).encode() for name in config.class_names]
         self._last = 0  # number of the last notice read
         self._gap = -1  # the last one before a gap that was asked for again
         self._booted: float | None = None
@@ -59,14 +60,16 @@
 
     def run(self, exchange: Exchange) -> None:
         """Start a request."""
-        body, route = base64.b64encode(exchange.body).decode(), self.config.class_names[exchange.cls]
+        # Written without the JSON library: ids are letters and digits, bodies base64.
+        text = b'{"t":"SCHED","rid":"%s","route":%s,"b64":"%s"}\n' % (
+            exchange.id.encode(), self._routes[exchange.cls], base64.b64encode(exchange.body))
         safe = self.config.settings.classes[exchange.cls].effect is Effect.SAFE
-        self._send(Command(exchange.id, line(t="SCHED", rid=exchange.id, route=route, b64=body), safe))
+        self._send(Command(exchange.id, text, safe))
 
     def resume(self, exchange: Exchange, reply: bytes) -> None:
         """Hand a run its reply."""
-        body = base64.b64encode(reply).decode()
-        self._send(Command(exchange.id, line(t="IODONE", rid=exchange.id, b64=body)))
+        self._send(Command(exchange.id, b'{"t":"IODONE","rid":"%s","b64":"%s"}\n' % (
+            exchange.id.encode(), base64.b64encode(reply))))
 
     def ask(self) -> None:
         """Ask for the gauges; the answer also proves that all before it was read."""
@@ -160,7 +163,7 @@
     def _parse(self, text: bytes) -> dict[str, Any]:
         """Guards against an odd line: it is passed over; a notice lost with it shows as a gap in numbers."""
         try:
-            notice = json.loads(text)
+            notice = json.loads(text.decode())  # given bytes, it would look for their encoding each time
             if isinstance(notice, dict):
                 return notice
         except ValueError:
@@ -228,11 +231,12 @@
         if kind == "INFO":
             self._info(notice)
         elif kind == "EINVAL":
-            self.core.counters.add("kernel.einval")
-            log.error("command not carried out", command=notice.get("status"), rid=notice.get("rid"))
+            if self.core.counters.rare("kernel.einval"):
+                log.error("command not carried out", command=notice.get("status"), rid=notice.get("rid"))
             if notice.get("status") == "SCHED":
                 self._settled(str(notice.get("rid")))
-                self.core.ended(str(notice.get("rid")), Outcome.ERROR, 0.0)
+                # Nothing was started. Guards against clients whose made-up ids would look like failing runs.
+                self.core.ended(str(notice.get("rid")), Outcome.MOOT, 0.0)
 
     def _numbered(self, notice: dict[str, Any]) -> None:
         kind, rid = notice.get("t"), str(notice.get("rid"))
@@ -248,8 +252,8 @@
                 self._settled(rid)
                 self.core.call_needed(rid, base64.b64decode(notice.get("b64", "")))
         except (KeyError, TypeError, ValueError) as error:  # guards the link against one odd notice
-            self.core.counters.add("kernel.bad_notice")
-            log.error("notice can't be read", error=f"{type(error).__name__}: {error}"[:200])
+            if self.core.counters.rare("kernel.bad_notice"):
+                log.error("notice can't be read", error=f"{type(error).__name__}: {error}"[:200])
 
     def _settled(self, rid: str) -> None:
         """A notice of a run proves that what was sent for it was read."""
--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -12,6 +12,8 @@
 from myrtlespar.config import Address
 from myrtlespar.limits import Limits
 
+READ_BYTES = 16384  # at a time
+
 
 class Closed(Exception):
     """The other side closed, or sent what can't be read."""
@@ -24,9 +26,10 @@
 class Outbox:
     """Messages for one socket, sent in order; `put` never blocks. A greenlet sends what does not fit."""
 
-    def __init__(self, sock: socket.socket, size: int, send_ms: float) -> None:
-        self._sock, self._size, self._send_s = sock, size, send_ms / 1000.0
+    def __init__(self, sock: socket.socket, most: int, send_ms: float) -> None:
+        self._sock, self._most, self._send_s = sock, most, send_ms / 1000.0
         self._queue: deque[bytes] = deque()
+        self._waiting = 0  # bytes in the queue
         self._writer: Greenlet | None = None
         self.closed = self.ending = False
 
@@ -45,10 +48,11 @@
             if not data:
                 return True
             self._writer = gevent.spawn(self._write)
-        if len(self._queue) >= self._size:  # guards our memory against a peer that stops reading
+        if self._waiting + len(data) > self._most:  # guards our memory against a peer that stops reading
             self.close()
             return False
         self._queue.append(data)
+        self._waiting += len(data)
         return True
 
     def finish(self) -> None:
@@ -79,6 +83,7 @@
                 data = self._queue.popleft()
                 while self._queue and len(data) < 65536:  # one send for what waits already
                     data += self._queue.popleft()
+                self._waiting -= len(data)
                 with gevent.Timeout(self._send_s, TimeoutError):  # guards against a window that stays shut
                     self._sock.sendall(data)
         except OSError:
@@ -162,7 +167,7 @@
 
     def _more(self) -> None:
         try:
-            data = self._sock.recv(65536)
+            data = self._sock.recv(READ_BYTES)
         except OSError as error:  # also a wait that was ended by `stop`
             if not self._stopped:
                 raise Closed(str(error)) from None
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -54,11 +54,12 @@
 
     def __init__(self, front: ThriftFront, sock: socket.socket) -> None:
         self.front, self.core = front, front.core
-        self.outbox = Outbox(sock, front.limits.outbox_messages, front.limits.send_ms)
+        self.outbox = Outbox(sock, front.limits.outbox_bytes, front.limits.send_ms)
         self.reader = Reader(sock, front.limits.frame_bytes)
         self.open: dict[int, Exchange] = {}
         self.used = unix_ms()
         self.messages = 0
+        self.bad = 0  # messages running that could not be taken
         self.told = False  # that nothing new is to be sent here
 
     def owes(self) -> bool:
@@ -72,7 +73,12 @@
                 size = int.from_bytes(self.reader.exactly(4), "big")
                 if not 0 < size <= self.front.limits.frame_bytes:  # guards against a length that fills memory
                     raise BadMessage(f"frame of {size} bytes")
+                before = self.bad
                 self._frame(self.reader.exactly(size))
+                if self.bad == before:
+                    self.bad = 0
+                elif self.bad >= self.front.limits.bad_most:  # guards the core's time against a flood
+                    raise BadMessage("too many messages that could not be taken")
                 self.reader.breathe()
         except Closed:
             pass
@@ -115,6 +121,7 @@
             return self._except("invoke", seq, PROTOCOL_ERROR, str(error))
         if len(self.open) >= self.front.limits.open_requests:
             self.core.counters.add("in.too_many.thrift")
+            self.bad += 1
             refusal = idl.Backoff(fields=self._fields({"backoff": "100"}))
             return self._reply(seq, idl.Front.invoke_result(refused=refusal))
         self.open[seq] = exchange
@@ -163,4 +170,5 @@
         self.outbox.put(wire.encode("invoke", wire.REPLY, seq, result))
 
     def _except(self, name: str, seq: int, kind: int, text: str) -> None:
+        self.bad += 1
         self.outbox.put(wire.exception(name, seq, kind, text))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -165,7 +165,9 @@
         self.tell(link, {"t": "INFO", "mark": command["mark"], "v": [busy, len(self.running), 0.1, 3]})
 
     def sched(self, link: socket.socket, command: dict[str, Any]) -> None:
-        if command["rid"] not in self.running:
+        if base64.b64decode(command["b64"]).startswith(b"alien"):  # of no request that came to this server
+            self.tell(link, {"t": "EINVAL", "status": "SCHED", "rid": command["rid"]})
+        elif command["rid"] not in self.running:
             self.starts[command["rid"]] += 1
             self.by_body[base64.b64decode(command["b64"])] += 1
             self.running.add(command["rid"])
@@ -218,9 +220,17 @@
             end = self.script.pop(0) if self.script else "OK"
             if end == "cut":
                 return
-            if end == "OK":
-                reply = b"reply\r\nto " + body
-                link.sendall(b"%s OK %d\r\n%s\r\n" % (words[1], len(reply), reply))
+            reply = b"reply\r\nto " + body
+            good = b"%s OK %d\r\n%s\r\n" % (words[1], len(reply), reply)
+            odd = {"OK": good, "noise": b"\0\xff noise\r\n", "endless": b"x" * 5000, "copy": good * 2,
+                   "stray": b"ffff OK 3\r\nabc\r\n" + good,
+                   "short": b"%s OK %d\r\n%s\r\n" % (words[1], len(reply) - 3, reply),
+                   "huge": b"%s OK 3000000000\r\n%s" % (words[1], reply)}
+            if end == "slow":
+                time.sleep(0.4)
+                link.sendall(good)
+            elif end in odd:
+                link.sendall(odd[end])
             elif end != "hang":
                 link.sendall(f"{id} {end}\r\n".encode())
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -120,6 +120,13 @@
     assert client.answer(seqs[-1])[0] == "refused"
 
 
+def test_requests_unknown_to_the_kernel_turn_away_nobody_else(server: Tile) -> None:
+    rude, client = Client(server.ports[0]), Client(server.ports[0])
+    aliens = [rude.send("fetch", b"alien") for _ in range(30)]
+    assert [rude.answer(seq)[0] for seq in aliens] == ["failed"] * 30
+    assert [client.ask("fetch")[0] for _ in range(5)] == ["success"] * 5
+
+
 def test_abort_frees_what_is_held_and_its_answer_is_not_needed(server: Tile) -> None:
     client = Client(server.ports[0])
     running = [client.send("render", b"ms=1000") for _ in range(3)]
@@ -142,6 +149,26 @@
     assert len(server.store.calls) == calls
 
 
+@pytest.mark.parametrize("spoilt", ["noise", "endless", "short", "huge", "cut"])
+def test_a_spoilt_reply_ends_its_own_call_only(server: Tile, spoilt: str) -> None:
+    client = Client(server.ports[0])
+    server.store.script = ["slow"]
+    slow = client.send("order", b"calls=1 slow")
+    until(lambda: server.store.calls)
+    server.store.script = [spoilt, spoilt]
+    assert client.ask("order", b"calls=1")[0] == "failed"  # it may have had its effect
+    assert client.ask("render", b"calls=1")[0] == "success"  # a read's call is made again
+    assert client.answer(slow)[0] == "success"
+    assert client.ask("order", b"calls=2")[0] == "success"
+
+
+@pytest.mark.parametrize("more", ["copy", "stray"])
+def test_replies_that_carry_more_than_is_theirs_are_still_good(server: Tile, more: str) -> None:
+    server.store.script = [more] * 4
+    assert Client(server.ports[0]).ask("order", b"calls=4")[0] == "success"
+    assert server.kernel.replies == [b"reply\r\nto call %d of calls=4" % n for n in range(4)]
+
+
 def test_a_store_that_is_down_proves_that_no_call_ran(server: Tile) -> None:
     port = server.store.port
     server.store.down()
@@ -231,12 +258,14 @@
     client = Client(server.ports[0])
     seqs: list[int] = []
     for n in range(5):
+        server.store.script, seen = ["slow"], len(server.store.calls)  # one call is in hand as the links move
         seqs += [client.send(method, b"ms=40 calls=2") for method in ("order", "render")]
+        until(lambda seen=seen: len(server.store.calls) >= seen + 3)
         old = [*server.store.links, *server.roster.links]
         server.move()
         seqs += [client.send(method, b"ms=40 calls=2") for method in ("order", "render")]
         until(lambda n=n: len([row for row in server.log if row["event"] == "kernel up"]) > n + 1)
-        time.sleep(0.3)
+        time.sleep(0.6)
         server.store.cut(*old)
     assert [client.answer(seq)[0] for seq in seqs] == ["success"] * len(seqs)
     assert set(server.kernel.starts.values()) == {1}
