--- a/tests/test_ajp.py
+++ b/tests/test_ajp.py
@@ -85,6 +85,25 @@
     assert Gateway(server.ports[1]).ask("/fetch", b"x")[0] == 200
 
 
+@pytest.mark.parametrize("data", [b"", b"\x12", b"\x12\x34\x00\x09\x02"])
+def test_silent_and_half_sent_connections_are_closed(server: Tile, data: bytes) -> None:
+    asked, gateway = Gateway(server.ports[1]), Gateway(server.ports[1])
+    assert asked.ask("/fetch")[0] == 200
+    gateway.sock.sendall(data)
+    assert gateway.sock.recv(1) == b""
+    assert asked.ask("/fetch")[0] == 200
+
+
+def test_idle_gateways_make_room(tmp_path: Path) -> None:
+    with tile(tmp_path, operator=OPERATOR, sockets=100) as running:
+        gateways = [Gateway(running.ports[1])]
+        assert gateways[0].ask("/fetch")[0] == 200
+        for _ in range(11):  # a quarter of 44 places
+            gateways.append(Gateway(running.ports[1]))
+            assert gateways[-1].ask("/fetch")[0] == 200
+        assert gateways[0].sock.recv(1) == b"" and gateways[-1].ask("/fetch")[0] == 200
+
+
 def test_ping_is_answered_and_remote_shutdown_is_not_heeded(server: Tile) -> None:
     gateway = Gateway(server.ports[1])
     gateway.packet(b"\x07")
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -150,6 +150,19 @@
     assert len(server.said(api.Call, "a")) == 2
 
 
+def test_what_is_kept_by_sender_and_request_stays_bounded() -> None:
+    server = Server(tells_gone=True)
+    for n in range(3000):
+        server.arrive(10.0 * n, f"r{n}", 3, sender=n)
+        server.at(10.0 * n + 5, api.CallerGone(f"r{n}"))
+        server.at(10.0 * n + 6, api.RunEnded(f"r{n}", Outcome.OK, 6))
+    policy = server.policy
+    server.at(10.0 * 3000 + 7000, api.Tick(1))
+    assert len(policy.patience) <= 200 and not policy.jobs and not policy.open_by
+    assert not policy.due and not policy.useless and not policy.waits and len(policy.at_call) == 0
+    assert policy.memory == pytest.approx(0.0)
+
+
 def test_credit_is_advertised_and_closed_on_drain() -> None:
     server = Server(signal=api.Signal.CREDIT, senders=3)
     server.at(200)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -414,6 +414,16 @@
     assert [(rule.path, rule.to) for rule in config.ajp.maps][1] == ("/tiles/fetch", "viewers")
 
 
+@pytest.mark.parametrize(("limits", "places"), [
+    ({"sockets": 384, "memory_mb": 192}, 304), ({"sockets": 1024, "memory_mb": 32}, 426),
+    ({"sockets": 384, "memory_mb": 25}, 128)])
+def test_places_follow_descriptors_and_memory(tmp_path: Path, limits: dict[str, int], places: int) -> None:
+    env = configured(tmp_path, "")
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps({**json.loads(path.read_text()), "limits": limits}))
+    assert load(env).limits.connections == places
+
+
 def configured(tmp: Path, operator: str) -> dict[str, str]:
     config = {"name": "n", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "store": "127.0.0.1:1",
               "roster": "127.0.0.1:1", "settings": settings()}
