--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -57,7 +57,7 @@
 
     ajp_packet: int = 8192
     ajp_outbox: int = 1 << 19  # unsent bytes of one gateway's connection: a whole answer of a worker fits
-    ajp_header_ms: float = 10000.0  # to finish a request that has begun
+    ajp_header_ms: float = 2000.0  # to finish a request that has begun
     ajp_reply_bytes: int = 262144  # of a worker's answer
     worker_idle: int = 8  # idle connections kept to one AJP worker
     worker_rest_ms: float = 2000.0  # an unreachable worker is left out for so long
