Add the management address and hand over to a second process on SIGTERM

PAUSE only turns health bad (core.healthy = policy's view and not paused); requests are served as usual. Figures are counted in the core at the one place each answer is delivered and each run is handed to the kernel, rendered on demand as Prometheus text. Not taken: prometheus-client on the served path, for its lock and label lookup per count; to be measured side by side in benchmarks/. Client listeners are bound with SO_REUSEPORT. With mgmt set, SIGTERM is a hand-over (new process table event HANDOVER): listeners close at once after the accept queue is emptied (closing would reset queued connections unheard), clients get shutdown, nothing is barred, health stays, and all read is answered before min(longest deadline, 3 s) + 0.7 s. Not taken: reusing the drain notice, as it tells the policy to advertise 0 and report bad health for both processes.

--- a/myrtlespar/attempt/process.py
+++ b/myrtlespar/attempt/process.py
@@ -27,6 +27,7 @@
     KILL_NEAR = auto()
     CROSSED = auto()  # nothing that crossed the closing listeners is owed any longer
     FLUSHED = auto()
+    HANDOVER = auto()  # SIGTERM beside a second process: stop listening at once, no drain, answer all read
 
 
 class Act(IntEnum):
@@ -46,6 +47,10 @@
 PROCESS = Table("process", Stage, Say, {
     (Stage.SERVING, Say.NOTICE): Row(Stage.DRAINING, (Act.TELL_POLICY, Act.ASK_CLIENTS)),
     (Stage.SERVING, Say.RELOAD): Row(Stage.SERVING, (Act.MOVE_LINKS,)),
+    (Stage.SERVING, Say.HANDOVER): Row(Stage.CROSSING, _CLOSE),
+    (Stage.DRAINING, Say.HANDOVER): Row(Stage.CROSSING, _CLOSE),
+    (Stage.CROSSING, Say.HANDOVER): Row(Stage.CROSSING),
+    (Stage.FLUSHING, Say.HANDOVER): Row(Stage.FLUSHING),
     (Stage.SERVING, Say.BAD_RELOAD): Row(Stage.SERVING, (Act.NAME_FAULT,)),
     (Stage.DRAINING, Say.NOTICE): Row(Stage.DRAINING),  # a second notice changes nothing
     (Stage.DRAINING, Say.RELOAD): Row(Stage.DRAINING, (Act.MOVE_LINKS,)),  # runs still end over those links
@@ -90,6 +95,13 @@
             self.notice_at, self.kill_at = now, now + self.stop_ms
         return self.say(Say.NOTICE)
 
+    def handover(self, now: float, kill_in_ms: float) -> tuple[Act, ...]:
+        """SIGTERM while a second process serves beside this one: it is no notice to drain, so nothing is barred
+        and health stays; listeners close now and all that was read is answered before the kill."""
+        if self.stage in (Stage.SERVING, Stage.DRAINING):
+            self.closed_at, self.kill_at = now, min(self.kill_at, now + kill_in_ms)
+        return self.say(Say.HANDOVER)
+
     def look(self, now: float, owed: int) -> tuple[Act, ...]:
         """Whether the drain may go one stage on."""
         if self.stage == Stage.DRAINING:
--- a/myrtlespar/config.py
+++ b/myrtlespar/config.py
@@ -76,6 +76,8 @@
     thrift_key: str = ""  # the field of a Thrift request that holds an idempotency key
     ajp: Ajp = field(default_factory=Ajp)
     trace: bool = False  # a log line for each step of each machine
+    mgmt: Address | None = None  # the operators' address; None: no management listener, SIGTERM drains
+    tmpdir: str = ""  # shared with a second process of this server, and kept
 
 
 def parse_address(text: Any, key: str) -> Address:
@@ -190,6 +192,10 @@
         kernel=rows.address("kernel"), store=rows.address("store"), roster=rows.address("roster"),
         seed=int(seed, 16), settings=settings, class_names=names, limits=limits,
     )
+    mgmt = env.get("BALANCER_MGMT", "")
+    if mgmt or "mgmt" in rows.rows:
+        config = replace(config, mgmt=parse_address(mgmt, "BALANCER_MGMT") if mgmt else rows.address("mgmt"),
+                         tmpdir=_tmpdir(env))
     operator = env.get("MYRTLESPAR_OPERATOR", "")
     return _operator(config, Table(_toml(operator), "")) if operator else config
 
@@ -208,6 +214,14 @@
         raise ConfigError(f"{key}: cannot read {path}: {error.strerror}") from None
 
 
+def _tmpdir(env: Mapping[str, str]) -> str:
+    """Guards the hand-over between two processes against a folder it could not use."""
+    path = env.get("TMPDIR", "") or "/tmp"
+    if not os.path.isdir(path) or not os.access(path, os.R_OK | os.W_OK | os.X_OK):
+        raise ConfigError(f"TMPDIR: cannot read and write the folder {path!r}")
+    return path
+
+
 def _json(path: str) -> Any:
     try:
         return json.loads(_read(path, "BALANCER_CONFIG"))
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import gevent
@@ -22,9 +22,12 @@
 from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.interface import Outcome
 from myrtlespar.limits import Limits
+from myrtlespar.ops.desk import Desk as OpsDesk
+from myrtlespar.ops.desk import Figures
 
 log = structlog.get_logger()
 # Bound once: looking a member up in its class costs as much as a step of a table.
+ENDS = {Kind.SERVED: 0, Kind.REFUSED: 1, Kind.FAILED: 2}
 DELIVER, START_RUN, MAKE_CALL, RESUME = Do.DELIVER, Do.START_RUN, Do.MAKE_CALL, Do.RESUME
 TELL_ARRIVAL, TELL_GONE, TELL_ENDED = Do.TELL_ARRIVAL, Do.TELL_GONE, Do.TELL_ENDED
 TELL_CALL_NEEDED, TELL_CALL_ENDED = Do.TELL_CALL_NEEDED, Do.TELL_CALL_ENDED
@@ -77,7 +80,10 @@
         self.gauges: Gauges | None = None
         self.close_idle: Callable[[float], None] = lambda after_ms: None
         self.value = 1.0  # what is advertised with every answer
-        self.healthy = True
+        self.policy_healthy = True
+        self.operator = OpsDesk()  # the pause that operators ask for on the management address
+        self.ends = [[0, 0, 0] for _ in settings.classes]  # per class: served, refused, failed, since the start
+        self.forwards = [0 for _ in settings.classes]  # per class: runs handed to the kernel
         self.process = Process(limits.stop_ms, settings.drain_grace_ms, limits.sweep_ms, limits.flush_ms,
                                limits.crossing_ms)
         self.desk = Desk(
@@ -92,6 +98,15 @@
         self._sweep_at = 0.0
         self._stop = False
 
+    @property
+    def healthy(self) -> bool:
+        """What a health check is told."""
+        return self.operator.good(self.policy_healthy)
+
+    def figures(self, names: Sequence[str]) -> Figures:
+        """The counts for the management address, taken now."""
+        return Figures(names, [list(row) for row in self.ends], list(self.forwards), self.desk.owed)
+
     @property
     def draining(self) -> bool:
         """Whether the notice to leave has come."""
@@ -215,7 +230,7 @@
             case api.Advertise(value):
                 self.value = value
             case api.SetHealth(good, _):
-                self.healthy = good
+                self.policy_healthy = good
             case api.CloseIdle(after_ms):
                 self.close_idle(after_ms)
             case api.Wake(after_ms, token):
@@ -231,11 +246,14 @@
             if do is DELIVER:
                 assert answer is not None
                 self.counters.add(f"answer.{answer.kind.value}.{exchange.front}")
+                self.ends[exchange.cls][ENDS[answer.kind]] += 1
                 exchange.deliver(exchange, answer)
             elif do is TELL_ARRIVAL:
                 self._post(exchange)
             elif do is START_RUN:
                 self.counters.add("run.started")
+                if not exchange.target:
+                    self.forwards[exchange.cls] += 1
                 self.engines[exchange.target].run(exchange)
             elif do is TELL_ENDED:
                 self._post(api.RunEnded(exchange.id, outcome, ms))
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -47,7 +47,8 @@
         self.links: set[Link] = set()
         self.idle_ms = 0.0  # the module's wish; 0 leaves it to the clients
         self._unfinished: dict[Link, tuple[int, float]] = {}  # messages read, time without more
-        self._server = StreamServer(address, self._serve, backlog=512)
+        self._socket = bound(address, 512, shared=True)
+        self._server = StreamServer(self._socket, self._serve)
         # Guards descriptors against a crowd that is accepted before room was made for it.
         self._server.max_accept = core.limits.accept_at_once
 
@@ -62,7 +63,19 @@
         return int(self._server.server_port)
 
     def stop(self) -> None:
-        """Accept no more."""
+        """Accept no more: what waits in the queue is taken first, as closing would reset it unheard."""
+        if self._server.closed:
+            return
+        sock = self._socket
+        self._server.stop_accepting()
+        sock.setblocking(False)
+        try:
+            while True:  # guards connections that the kernel queued here beside a second process
+                conn, peer = sock.accept()
+                self.core.counters.add(f"in.taken_at_close.{self.name}")
+                gevent.spawn(self._serve_then_close, conn, peer)
+        except OSError:
+            pass
         self._server.close()
 
     def finish(self, timeout: float) -> None:
@@ -114,6 +127,12 @@
             self.close_idle(idle)
         return idle is not None
 
+    def _serve_then_close(self, sock: socket.socket, peer: Any) -> None:
+        try:
+            self._serve(sock, peer)
+        finally:
+            sock.close()
+
     def _serve(self, sock: socket.socket, _: Any) -> None:
         if not self._make_room():  # guards against running out of descriptors
             self.core.counters.add(f"in.connection_refused.{self.name}")
@@ -127,3 +146,14 @@
         finally:
             link.outbox.close()  # guards against writes to a descriptor that is closed and used anew
             self.links.discard(link)
+
+
+def bound(address: Address, backlog: int, shared: bool) -> socket.socket:
+    """A listening socket; `shared` lets a second process of the same server listen beside it (SO_REUSEPORT)."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind(address)
+    sock.listen(backlog)
+    return sock
--- /dev/null
+++ b/myrtlespar/net/mgmt.py
@@ -0,0 +1,98 @@
+"""The management address: one line a connection, answered by the pure desk in `ops.desk`.
+
+Its own listener and greenlets, bounded apart from the clients' fronts, so that a crowd of clients can't take
+its places, and a crowd of operators' connections can't take the clients'."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from gevent import socket
+from gevent.server import StreamServer
+
+from myrtlespar.config import Address
+from myrtlespar.core import unix_ms
+from myrtlespar.counters import Counters
+from myrtlespar.net.listener import bound
+from myrtlespar.ops.desk import LINE_MOST, Desk, Figures
+
+log = structlog.get_logger()
+
+MOST = 64  # management connections at a time; a newcomer past that ends the oldest one
+DISCARD_S = 0.2  # of the rest of an overlong line
+HOLD_S = 5.0  # a caller may take so long to send its whole line
+
+
+class Mgmt:
+    """Listens on `address` and answers each line within the time the event loop grants it."""
+
+    def __init__(self, address: Address, desk: Desk, counters: Counters, ready: Callable[[], bool],
+                 figures: Callable[[], Figures]) -> None:
+        self.desk, self.counters, self.ready, self.figures = desk, counters, ready, figures
+        self._open: dict[socket.socket, float] = {}  # connection: when it came
+        self._server = StreamServer(bound(address, 64, shared=False), self._serve)
+        self._server.max_accept = 16
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    @property
+    def port(self) -> int:
+        """The port in use."""
+        return int(self._server.server_port)
+
+    def stop(self) -> None:
+        """Accept no more."""
+        self._server.close()
+
+    def _serve(self, sock: socket.socket, _: Any) -> None:
+        if len(self._open) >= MOST:  # guards descriptors against callers that hold connections open
+            oldest = min(self._open, key=self._open.__getitem__)
+            self.counters.add("mgmt.evicted")
+            self._open.pop(oldest, None)
+            oldest.close()
+        self._open[sock] = unix_ms()
+        try:
+            raw = self._line(sock)
+            if raw is None:
+                return
+            reply, overlong = self.desk.line(raw, unix_ms(), self.ready(),
+                                           self.figures() if raw.strip() == b"METRICS" else None)
+            self.counters.add("mgmt.error" if reply.startswith(b"error") else "mgmt.done")
+            sock.sendall(reply)
+            if overlong:
+                _discard(sock)
+        except OSError:
+            self.counters.add("mgmt.broken")
+        finally:
+            self._open.pop(sock, None)
+            sock.close()
+
+    def _line(self, sock: socket.socket) -> bytes | None:
+        """One line, at most LINE_MOST + 1 bytes of it; None when the caller left or took too long."""
+        data = b""
+        sock.settimeout(HOLD_S)
+        try:
+            while b"\n" not in data and len(data) <= LINE_MOST:
+                chunk = sock.recv(LINE_MOST + 1 - len(data))
+                if not chunk:
+                    return data or None
+                data += chunk
+        except TimeoutError:
+            self.counters.add("mgmt.slow")
+            return None
+        return data.partition(b"\n")[0] if b"\n" in data else data
+
+
+def _discard(sock: socket.socket) -> None:
+    """Read what is left of an overlong line for a short while, so that closing does not reset the reply."""
+    sock.shutdown(socket.SHUT_WR)
+    sock.settimeout(DISCARD_S)
+    with contextlib.suppress(OSError):
+        for _ in range(16):
+            if not sock.recv(4096):
+                break
--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -15,6 +15,7 @@
 from myrtlespar.counters import Counters
 from myrtlespar.net.ajp import AjpFront
 from myrtlespar.net.kernel import Kernel
+from myrtlespar.net.mgmt import Mgmt
 from myrtlespar.net.roster import Roster
 from myrtlespar.net.store import Store
 from myrtlespar.net.thrift import ThriftFront
@@ -22,10 +23,13 @@
 from myrtlespar.tracing import trace_to_log
 
 log = structlog.get_logger()
+HANDOVER_CAP_MS = 3000.0  # SIGKILL follows SIGTERM after the longest deadline, counted as this at most,
+HANDOVER_SPARE_MS = 700.0  # and this
 
 
-def serve(config: Config) -> None:
-    """Wire the parts, run until a notice to drain is carried out."""
+def serve(config: Config) -> int:
+    """Wire the parts, run until a notice to drain or a hand-over is carried out. 2: the management address
+    can't be taken, before any client is."""
     counters = Counters()
     if config.trace:
         trace_to_log()
@@ -66,9 +70,28 @@
             part.move(address)
         log.info("reloaded", needs_restart=needs_restart(config, fresh))
 
+    def hand_over() -> None:
+        """SIGTERM beside a second process: stop listening, tell clients, answer what was read, then exit."""
+        longest = max((kind.give_up_ms for kind in config.settings.classes), default=0.0)
+        acts = core.process.handover(unix_ms(), min(longest, HANDOVER_CAP_MS) + HANDOVER_SPARE_MS)
+        log.info("handing over", owed=core.desk.owed)
+        if Act.CLOSE_LISTENERS in acts:
+            for front in fronts:
+                front.stop()
+                front.drain()
+
+    mgmt = None
+    if config.mgmt is not None:
+        try:
+            mgmt = Mgmt(config.mgmt, core.operator, counters,
+                        lambda: kernel.up and not core.draining, lambda: core.figures(config.class_names))
+            mgmt.start()
+        except OSError as error:
+            print(f"mgmt: cannot listen on {config.mgmt[0]}:{config.mgmt[1]}: {error.strerror}", file=sys.stderr)
+            return 2
     core.close_idle = close_idle
     gevent.signal_handler(signal.SIGHUP, reload)
-    gevent.signal_handler(signal.SIGTERM, drain)
+    gevent.signal_handler(signal.SIGTERM, drain if mgmt is None else hand_over)
     gevent.signal_handler(signal.SIGINT, drain)
     gevent.signal_handler(signal.SIGUSR1, lambda: log.info("counters", **core.report()))
     for front in fronts:
@@ -76,7 +99,7 @@
     turns = gevent.spawn(core.run)
     for part in (kernel, store, roster):
         gevent.spawn(part.serve)
-    log.info("serving", name=config.name, ports=[front.port for front in fronts])
+    log.info("serving", name=config.name, ports=[front.port for front in fronts], mgmt=mgmt.port if mgmt else None)
     gc.freeze()
     stopped = False
     while not stopped:
@@ -96,6 +119,7 @@
                 stopped = Act.STOP in core.process.say(Say.FLUSHED)
     core.stop()
     log.info("counters", **core.report())
+    return 0
 
 
 def main() -> int:
@@ -109,5 +133,4 @@
     except ConfigError as error:
         print(error, file=sys.stderr)
         return 2
-    serve(config)
-    return 0
+    return serve(config)
--- a/myrtlespar/standins/program.py
+++ b/myrtlespar/standins/program.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -38,12 +39,15 @@
     """The program, with a stand-in for each neighbour."""
 
     def __init__(self, tmp: Path, operator: str = "", late_kernel: bool = False, sockets: int = 1024,
-                 kernel: Kernel | None = None, program: Sequence[str] = ("myrtlespar",), root: Path = ROOT) -> None:
+                 kernel: Kernel | None = None, program: Sequence[str] = ("myrtlespar",), root: Path = ROOT,
+                 mgmt: bool = False) -> None:
         self.kernel, self.store, self.roster = kernel or Kernel(), Store(), Roster()
         self.config = {
             "name": "n3", "listen": "127.0.0.1:0", "kernel": self.kernel.address, "store": self.store.address,
             "roster": self.roster.address, "seed": "8c1f30d27a5be964", "stop_ms": 2500,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings()}
+        if mgmt:
+            self.config["mgmt"] = "127.0.0.1:0"
         self.path = tmp / "config.json"
         self.path.write_text(json.dumps(self.config))
         env = {**os.environ, "BALANCER_CONFIG": str(tmp / "config.json")}
@@ -56,7 +60,8 @@
                                         stdout=subprocess.PIPE)
         self.log: list[dict[str, Any]] = []
         threading.Thread(target=self._read, daemon=True).start()
-        self.ports = until(lambda: self.event("serving"), "start")["ports"]
+        serving = until(lambda: self.event("serving"), "start")
+        self.ports, self.mgmt = serving["ports"], serving.get("mgmt")
         if not late_kernel and kernel is None:
             until(lambda: self.event("kernel up"), "kernel link")
 
@@ -84,6 +89,16 @@
         until(lambda: sum(row["event"] == "counters" for row in self.log) > seen, "counters")
         return self.event("counters") or {}
 
+    def ask(self, line: bytes) -> str:
+        """One line to the management address, and its whole reply."""
+        assert self.mgmt, "started without mgmt"
+        with socket.create_connection(("127.0.0.1", self.mgmt), timeout=WAIT_S) as sock:
+            sock.sendall(line)
+            data = b""
+            while chunk := sock.recv(65536):
+                data += chunk
+        return data.decode()
+
     def stop(self) -> int:
         """Notice to drain, then the exit status."""
         self.process.terminate()
