Hand idempotency keys to the replacing process through the shared TMPDIR

Need: with keys configured, a repeat of an order that the old process ran could land on the new one during a replacement and run again; nothing carried keys between the two.

A torn, spoilt or foreign file is refused whole, logged once, and waited past until the old process is gone. Not taken: a shared key table in TMPDIR written on each order, as it puts a file write on the served path of every keyed request, where the window it covers lasts a few seconds.

--- a/myrtlespar/attempt/keys.py
+++ b/myrtlespar/attempt/keys.py
@@ -77,6 +77,7 @@
         self.most, self.key_ms, self.followers, self.result_bytes = most, key_ms, followers, result_bytes
         self.entries: dict[Slot, Entry] = {}
         self.expiry: deque[tuple[float, Slot]] = deque()
+        self.waiting = False  # for the keys of a process before this one: no new key is taken meanwhile
 
     def arrive(self, x: Exchange) -> tuple[Then, Answer | None]:
         """What a new try of this key becomes: OWN, FOLLOW, ANSWER (with it), TURN_AWAY or FAIL."""
@@ -84,7 +85,8 @@
         entry = self.entries.get(slot)
         if entry is None:
             # Guards against a flood of keys: none is forgotten early.
-            event = At.FULL_TRY if len(self.entries) >= self.most else At.TRY
+            # Guards against a second run beside an old process: no key is taken before its keys came.
+            event = At.FULL_TRY if self.waiting or len(self.entries) >= self.most else At.TRY
             row = KEY.step(Key.FREE, event, x.key)
             if row.next == Key.OWNED:
                 self.entries[slot] = Entry(Key.OWNED, x)
@@ -129,6 +131,17 @@
         entry.owner = entry.followers.pop(0)
         return entry.owner
 
+    def known(self) -> list[tuple[Slot, Answer, float]]:
+        """Keys with their outcomes and when they lapse, oldest first: what a successor must not run again."""
+        return [(slot, entry.outcome, at) for at, slot in self.expiry
+                if (entry := self.entries.get(slot)) is not None and entry.outcome is not None]
+
+    def take(self, slot: Slot, outcome: Answer, lapses_at: float) -> None:
+        """A key whose outcome an earlier process knew. Taken in the order they lapse, before any key of its own."""
+        if slot not in self.entries and len(self.entries) < self.most:
+            self.entries[slot] = Entry(Key.KNOWN, None, [], outcome)
+            self.expiry.append((lapses_at, slot))
+
     def expire(self, now: float) -> None:
         """Forget outcomes whose time is over."""
         while self.expiry and self.expiry[0][0] <= now:
--- /dev/null
+++ b/myrtlespar/ops/handover.py
@@ -0,0 +1,103 @@
+"""The hand-over of idempotency keys from an old process to its replacement, through the shared `$TMPDIR`.
+
+Pure: bytes and times come in, entries and verdicts go out. The file is one header line
+`myrtlespar-keys VERSION CRC32 LENGTH` and LENGTH bytes of JSON lines, one known outcome each. A file that is torn,
+of another version or spoilt is refused whole. Times are Unix milliseconds."""
+
+from __future__ import annotations
+
+import base64
+import json
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+VERSION = 1
+MAGIC = b"myrtlespar-keys"
+
+
+class Refused(Exception):
+    """A hand-over file that can't be taken whole; the text says why, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """One key with its outcome: class number, key, kind of answer, body, retry-after, and when it lapses."""
+
+    cls: int
+    key: str
+    kind: str  # "served", "refused" or "failed"
+    body: bytes
+    retry_after_ms: float
+    lapses_at: float
+
+
+def encode(known: Iterable[Known]) -> bytes:
+    """The file's bytes."""
+    rows = b"".join(json.dumps([k.cls, k.key, k.kind, base64.b64encode(k.body).decode(), k.retry_after_ms,
+                                k.lapses_at]).encode() + b"\n" for k in known)
+    return b"%s %d %08x %d\n" % (MAGIC, VERSION, zlib.crc32(rows), len(rows)) + rows
+
+
+def decode(data: bytes, now: float, classes: int) -> list[Known]:
+    """The keys that have not lapsed. Refused: torn, of another version, spoilt, or naming an unknown class."""
+    head, _, rows = data.partition(b"\n")
+    words = head.split(b" ")
+    if len(words) != 4 or words[0] != MAGIC:
+        raise Refused("no hand-over header")
+    if words[1] != b"%d" % VERSION:
+        raise Refused(f"version {words[1][:8].decode('ascii', 'replace')}, not {VERSION}")
+    if not words[3].isdigit() or int(words[3]) != len(rows):
+        raise Refused(f"torn: {len(rows)} bytes of {words[3][:12].decode('ascii', 'replace')}")
+    if words[2] != b"%08x" % zlib.crc32(rows):
+        raise Refused("spoilt: the checksum differs")
+    out: list[Known] = []
+    try:
+        for line in rows.splitlines():
+            cls, key, kind, body, retry, lapses = json.loads(line)
+            if not (isinstance(cls, int) and 0 <= cls < classes and isinstance(key, str)
+                    and kind in ("served", "refused", "failed")):
+                raise Refused(f"an entry that names no known class or kind: {line[:60]!r}")
+            if float(lapses) > now:
+                out.append(Known(cls, key, kind, base64.b64decode(body, validate=True), float(retry), float(lapses)))
+    except (ValueError, TypeError) as error:
+        raise Refused(f"spoilt entry: {error}") from None
+    return sorted(out, key=lambda known: known.lapses_at)
+
+
+class Stand(Enum):
+    """Where a new process stands with the keys of the one before it."""
+
+    WAITING = "waiting"  # an old process lives: keyed requests are turned away, as they could run twice
+    OPEN = "open"
+
+
+@dataclass(slots=True)
+class Successor:
+    """What a new process does about the keys of an old one.
+
+    `look` is told whether the old process still holds its lock and what the hand-over file holds (None: none
+    yet). Keys open once a whole file was read, or once the old process is gone; a refused file is told once and
+    then waited past."""
+
+    stand: Stand = Stand.OPEN
+    refused: str = ""
+    taken: int = 0
+
+    def look(self, old_lives: bool, data: bytes | None, now: float, classes: int) -> tuple[list[Known], str]:
+        """The keys to take now, and a line for the log (empty: nothing new to tell)."""
+        if self.stand is Stand.OPEN:
+            return [], ""
+        if data is not None and not self.refused:
+            try:
+                known = decode(data, now, classes)
+            except Refused as why:
+                self.refused = str(why)
+                return [], f"hand-over refused: {why}"
+            self.stand, self.taken = Stand.OPEN, len(known)
+            return known, f"hand-over taken: {len(known)} keys"
+        if not old_lives:
+            self.stand = Stand.OPEN
+            return [], "the old process is gone; keys open without its hand-over"
+        return [], ""
--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -13,18 +13,22 @@
 from myrtlespar.config import Config, ConfigError, load, needs_restart
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.counters import Counters
+from myrtlespar.exchange import Answer, Kind
 from myrtlespar.net.ajp import AjpFront
+from myrtlespar.net.handfile import Folder
 from myrtlespar.net.kernel import Kernel
 from myrtlespar.net.mgmt import Mgmt
 from myrtlespar.net.roster import Roster
 from myrtlespar.net.store import Store
 from myrtlespar.net.thrift import ThriftFront
 from myrtlespar.net.workers import engines
+from myrtlespar.ops.handover import Known, Stand, Successor, encode
 from myrtlespar.tracing import trace_to_log
 
 log = structlog.get_logger()
 HANDOVER_CAP_MS = 3000.0  # SIGKILL follows SIGTERM after the longest deadline, counted as this at most,
 HANDOVER_SPARE_MS = 700.0  # and this
+KEYS_LOOK_S = 0.05  # between looks for an old process's keys
 
 
 def serve(config: Config) -> int:
@@ -81,6 +85,15 @@
                 front.drain()
 
     mgmt = None
+    folder = Folder(config.tmpdir, config.name) if config.tmpdir else None
+    if folder is not None:
+        successor = Successor(Stand.OPEN if folder.claim() else Stand.WAITING)
+        if successor.stand is Stand.WAITING:
+            core.desk.keys.waiting = True
+            log.info("an old process lives: keys wait for its hand-over")
+        else:
+            _take_keys(core, folder, Successor(Stand.WAITING))
+        gevent.spawn(_await_keys, core, folder, successor)
     if config.mgmt is not None:
         try:
             mgmt = Mgmt(config.mgmt, core.operator, counters,
@@ -114,6 +127,8 @@
                 for front in fronts:
                     front.drain()  # connections opened since the notice
             else:
+                if folder is not None:
+                    _leave_keys(core, folder)
                 flush_s = config.limits.flush_ms / 1000.0
                 gevent.joinall([gevent.spawn(front.finish, flush_s) for front in fronts], flush_s)
                 stopped = Act.STOP in core.process.say(Say.FLUSHED)
@@ -122,6 +137,43 @@
     return 0
 
 
+def _await_keys(core: Core, folder: Folder, successor: Successor) -> None:
+    """Look for the old process's keys until they came or it is gone."""
+    while successor.stand is Stand.WAITING:
+        gevent.sleep(KEYS_LOOK_S)
+        _take_keys(core, folder, successor)
+
+
+def _take_keys(core: Core, folder: Folder, successor: Successor) -> None:
+    try:
+        data = folder.read()
+        lives = not folder.claim()
+    except OSError as error:
+        log.error("hand-over folder unreadable", error=str(error))
+        data, lives = None, True
+    known, line = successor.look(lives, data, unix_ms(), len(core.settings.classes))
+    for one in known:
+        core.desk.keys.take((one.cls, one.key), Answer(Kind(one.kind), one.body, one.retry_after_ms),
+                            one.lapses_at)
+    if successor.stand is Stand.OPEN:
+        core.desk.keys.waiting = False
+        if known or (data is not None and not successor.refused):
+            folder.taken()
+    if line:
+        log.info(line)
+
+
+def _leave_keys(core: Core, folder: Folder) -> None:
+    """At the end of a hand-over: the outcomes of keys, for the process that takes over."""
+    known = [Known(cls, key, answer.kind.value, answer.body, answer.retry_after_ms, at)
+             for (cls, key), answer, at in core.desk.keys.known()]
+    try:
+        folder.write(encode(known))
+        log.info("keys left for the next process", keys=len(known))
+    except OSError as error:
+        log.error("keys could not be left", error=str(error))
+
+
 def main() -> int:
     """Run until drained. 0 is a drain carried out, 2 a faulty configuration, named in one line."""
     structlog.configure(processors=[
--- a/myrtlespar/standins/program.py
+++ b/myrtlespar/standins/program.py
@@ -40,17 +40,17 @@
 
     def __init__(self, tmp: Path, operator: str = "", late_kernel: bool = False, sockets: int = 1024,
                  kernel: Kernel | None = None, program: Sequence[str] = ("myrtlespar",), root: Path = ROOT,
-                 mgmt: bool = False) -> None:
+                 mgmt: bool = False, listen: str = "127.0.0.1:0", shared: Path | None = None) -> None:
         self.kernel, self.store, self.roster = kernel or Kernel(), Store(), Roster()
         self.config = {
-            "name": "n3", "listen": "127.0.0.1:0", "kernel": self.kernel.address, "store": self.store.address,
+            "name": "n3", "listen": listen, "kernel": self.kernel.address, "store": self.store.address,
             "roster": self.roster.address, "seed": "8c1f30d27a5be964", "stop_ms": 2500,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings()}
         if mgmt:
             self.config["mgmt"] = "127.0.0.1:0"
         self.path = tmp / "config.json"
         self.path.write_text(json.dumps(self.config))
-        env = {**os.environ, "BALANCER_CONFIG": str(tmp / "config.json")}
+        env = {**os.environ, "BALANCER_CONFIG": str(tmp / "config.json"), "TMPDIR": str(shared or tmp)}
         if operator:
             (tmp / "operator.toml").write_text(operator)
             env["MYRTLESPAR_OPERATOR"] = str(tmp / "operator.toml")
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -4,6 +4,7 @@
 
 import re
 import socket
+import threading
 import time
 from collections import Counter
 from pathlib import Path
@@ -12,7 +13,8 @@
 
 from myrtlespar.attempt.process import Act, Process, Stage
 from myrtlespar.ops.desk import LINE_MOST, Desk, Figures, exposition
-from myrtlespar.standins import Client, tile
+from myrtlespar.ops.handover import Known, Refused, Stand, Successor, decode, encode
+from myrtlespar.standins import Client, tile, until
 
 KIND = {"success": "succeeded", "refused": "declined", "failed": "aborted"}
 
@@ -126,3 +128,104 @@
                           timeout=60, check=False)
     assert done.returncode == 2 and done.stderr.startswith("mgmt") and done.stderr.count("\n") == 1, done.stderr
     taken.close()
+
+
+def test_a_handover_file_is_taken_whole_or_refused_whole() -> None:
+    known = [Known(2, "k1", "served", b"\x00result", 0.0, 9000.0), Known(2, "k0", "refused", b"", 250.0, 5000.0)]
+    data = encode(known)
+    assert decode(data, 1000.0, 3) == sorted(known, key=lambda one: one.lapses_at)
+    assert decode(data, 6000.0, 3) == known[:1]  # what lapsed is left out
+    for spoilt, why in [(data[:-3], "torn"), (data.replace(b"keys 1", b"keys 2"), "version"),
+                        (data.replace(b"k1", b"k2"), "spoilt"), (b"", "header")]:
+        with pytest.raises(Refused, match=why):
+            decode(spoilt, 1000.0, 3)
+    with pytest.raises(Refused, match="class"):
+        decode(data, 1000.0, 2)
+
+
+def test_a_successor_waits_past_a_refused_file_until_the_old_process_is_gone() -> None:
+    waiting = Successor(Stand.WAITING)
+    assert waiting.look(True, None, 0.0, 3) == ([], "")
+    assert waiting.look(True, b"junk", 0.0, 3)[1].startswith("hand-over refused") and waiting.stand is Stand.WAITING
+    assert waiting.look(True, encode([]), 0.0, 3) == ([], "")  # refused once: only the old one's end opens
+    assert waiting.look(False, None, 0.0, 3)[1].startswith("the old process is gone")
+    assert waiting.stand is Stand.OPEN
+    taking = Successor(Stand.WAITING)
+    keys, line = taking.look(True, encode([Known(0, "k", "served", b"r", 0.0, 10.0)]), 0.0, 3)
+    assert len(keys) == 1 and line == "hand-over taken: 1 keys" and taking.stand is Stand.OPEN
+
+
+def ask_as_a_proxy(port: int) -> str:
+    """One request as a client proxy sends it: sent once more on a new connection if it crossed a shutdown."""
+    for _ in range(2):
+        try:
+            client = Client(port)
+        except OSError as error:
+            return f"refused: {error}"
+        seq = client.send("render", b"ms=20")
+        until(lambda: seq in client.answers or client.ended.is_set(), "an answer or the end")  # noqa: B023
+        client.sock.close()
+        if seq in client.answers:
+            return str(client.answers[seq][0])
+        if "shutdown" not in client.told:
+            return "closed unheard"
+    return "closed unheard twice"
+
+
+@pytest.mark.parametrize("kill_new", [False, True])
+def test_a_replacement_under_load_turns_nobody_away(tmp_path: Path, kill_new: bool) -> None:
+    shared, old_dir, new_dir = tmp_path / "shared", tmp_path / "old", tmp_path / "new"
+    for folder in (shared, old_dir, new_dir):
+        folder.mkdir()
+    with tile(old_dir, mgmt=True, shared=shared) as old:
+        port, results, stop = old.ports[0], [], threading.Event()
+
+        def load() -> None:
+            for _ in range(2000):  # bounded, and ended by `stop` much sooner
+                if stop.is_set():
+                    return
+                results.append(ask_as_a_proxy(port))
+
+        held = Client(port)
+        slow = [held.send("render", b"ms=700") for _ in range(8)]
+        loaders = [threading.Thread(target=load) for _ in range(4)]
+        for loader in loaders:
+            loader.start()
+        with tile(new_dir, mgmt=True, shared=shared, listen=f"127.0.0.1:{port}") as new:
+            until(lambda: new.ask(b"STATUS\n") == "done yes\n", "the new process ready")
+            if kill_new:  # the new process dies mid-hand-over: the old one goes on alone
+                new.process.kill()
+                new.process.wait(10)
+                time.sleep(0.3)
+                assert old.ask(b"STATUS\n") == "done yes\n"
+            else:
+                old.process.terminate()
+                assert old.process.wait(10) == 0
+                assert old.event("keys left for the next process") is not None
+            assert {held.answer(seq)[0] for seq in slow} <= {"success", "refused"}  # each read one is answered
+            seen = len(results)
+            until(lambda: len(results) > seen + 20, "requests after the hand-over")
+            stop.set()
+            for loader in loaders:
+                loader.join(30)
+        assert len(results) > 20 and set(results) <= {"success", "refused"}, Counter(results)
+
+
+def test_an_order_run_by_the_old_process_is_not_run_again_by_the_new(tmp_path: Path) -> None:
+    shared, old_dir, new_dir = tmp_path / "shared", tmp_path / "old", tmp_path / "new"
+    for folder in (shared, old_dir, new_dir):
+        folder.mkdir()
+    keyed = '[idempotency]\nthrift_field = "key"\n'
+    with tile(old_dir, mgmt=True, shared=shared, operator=keyed) as old:
+        port = old.ports[0]
+        assert Client(port).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        with tile(new_dir, mgmt=True, shared=shared, operator=keyed, listen=f"127.0.0.1:{port}") as new:
+            assert new.event("an old process lives: keys wait for its hand-over") is not None
+            old.process.terminate()
+            assert old.process.wait(10) == 0
+            until(lambda: new.event("hand-over taken: 1 keys"), "the keys taken")
+            kind, answer = Client(port).ask("order", b"ms=5 once", key="k-1")
+            assert kind == "success" and answer.body == b"result of ms=5 once"
+            assert new.kernel.by_body[b"ms=5 once"] == 0 and old.kernel.by_body[b"ms=5 once"] == 1
+            assert Client(port).ask("order", b"ms=5 twice", key="k-2")[0] == "success"
+            assert new.kernel.by_body[b"ms=5 twice"] == 1
