--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,65 @@
+"""The cost of counting the figures two ways, side by side in one process: the core's own lists rendered as
+Prometheus text, and prometheus-client's labelled counters.
+
+    python -m benchmarks.figures --answers 200000 --rounds 5
+
+Each round counts the same answers both ways (class by class, as the core does at each delivery), then
+renders the exposition 1,000 times. Microseconds a count and a render, medians over the rounds."""
+
+from __future__ import annotations
+
+import statistics
+import time
+
+import click
+
+from myrtlespar.ops.desk import KINDS, Figures, exposition
+
+NAMES = ("render", "fetch", "order")
+
+
+def own(answers: int) -> tuple[float, float]:
+    """Microseconds for one count, and for one rendering, with the core's lists."""
+    ends = [[0, 0, 0] for _ in NAMES]
+    began = time.process_time()
+    for n in range(answers):
+        ends[n % 3][n % 2] += 1
+    count = (time.process_time() - began) * 1e6 / answers
+    began = time.process_time()
+    for _ in range(1000):
+        exposition(Figures(NAMES, [list(row) for row in ends], [0, 0, 0], 0))
+    return count, (time.process_time() - began) * 1e3
+
+
+def client(answers: int) -> tuple[float, float]:
+    """The same with prometheus-client, loaded here only."""
+    from prometheus_client import CollectorRegistry, Counter, generate_latest
+
+    registry = CollectorRegistry()
+    families = [Counter(f"app_{kind}", kind, ["service"], registry=registry) for kind in KINDS]
+    cells = [[family.labels(service=name) for family in families] for name in NAMES]  # bound once, as one would
+    began = time.process_time()
+    for n in range(answers):
+        cells[n % 3][n % 2].inc()
+    count = (time.process_time() - began) * 1e6 / answers
+    began = time.process_time()
+    for _ in range(1000):
+        generate_latest(registry)
+    return count, (time.process_time() - began) * 1e3
+
+
+@click.command()
+@click.option("--answers", default=200_000, show_default=True, type=click.IntRange(1000, 10_000_000))
+@click.option("--rounds", default=5, show_default=True, type=click.IntRange(1, 50))
+def main(answers: int, rounds: int) -> None:
+    """Print both, and their ratio."""
+    mine, theirs = [own(answers) for _ in range(rounds)], [client(answers) for _ in range(rounds)]
+    for label, rows in (("own lists", mine), ("prometheus-client", theirs)):
+        click.echo(f"{label:18} count {statistics.median(r[0] for r in rows):.3f} us, "
+                   f"render {statistics.median(r[1] for r in rows):.1f} us")
+    click.echo(f"ratio of a count, client / own: "
+               f"{statistics.median(r[0] for r in theirs) / statistics.median(r[0] for r in mine):.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/served_path.py
+++ b/benchmarks/served_path.py
@@ -1,6 +1,10 @@
 """CPU of the server's process for each request, beside an earlier checkout of this project, round by round.
 
     python -m benchmarks.served_path --against ../earlier --rounds 5 --requests 3000
+    python -m benchmarks.served_path --against ../earlier --figures    # also this tree with figures scraped
+
+With --figures, each round also runs this tree with the management address on and METRICS asked for every
+0.5 s, as the operators' days do.
 
 Both are started in turn on the same machine with the same stand-ins; what counts is the processor time that the
 operating system booked to the server between the first and the last request. Medians and the ratio round by round.
@@ -11,12 +15,13 @@
 import os
 import statistics
 import tempfile
+import threading
 import time
 from pathlib import Path
 
 import click
 
-from myrtlespar.standins import ROOT, Client, tile
+from myrtlespar.standins import ROOT, Client, Tile, tile
 
 OPEN = 24  # requests at a time on the connection
 
@@ -27,9 +32,20 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def measure(root: Path, requests: int) -> float:
+def scrape(server: Tile, stop: threading.Event) -> None:
+    """METRICS every 0.5 s, bounded."""
+    for _ in range(1000):
+        if stop.wait(0.5):
+            return
+        assert server.ask(b"METRICS\n").startswith("done")
+
+
+def measure(root: Path, requests: int, figures: bool = False) -> float:
     """Microseconds of CPU for one request: four in five answered by the kernel at once, some with a call."""
-    with tempfile.TemporaryDirectory() as tmp, tile(Path(tmp), root=root) as server:
+    with tempfile.TemporaryDirectory() as tmp, tile(Path(tmp), root=root, mgmt=figures) as server:
+        stop = threading.Event()
+        if figures:
+            threading.Thread(target=scrape, args=(server, stop), daemon=True).start()
         client, sent = Client(server.ports[0]), 0
         end = time.monotonic() + 120
         began = 0.0
@@ -41,6 +57,7 @@
                 client.send(("render", "fetch", "order")[sent % 3], b"ms=1 calls=1" if sent % 5 == 0 else b"ms=1")
                 sent += 1
             time.sleep(0.001)
+        stop.set()
         return (cpu_s(server.process.pid) - began) * 1e6 / requests
 
 
@@ -49,16 +66,24 @@
               help="An earlier checkout of this project.")
 @click.option("--rounds", default=5, show_default=True, type=click.IntRange(1, 50))
 @click.option("--requests", default=3000, show_default=True, type=click.IntRange(100, 100_000))
-def main(against: Path, rounds: int, requests: int) -> None:
+@click.option("--figures", is_flag=True, help="Also this tree with the management address on and scraped.")
+def main(against: Path, rounds: int, requests: int, figures: bool) -> None:
     """Print the figures of both, and their ratio."""
-    ratios, ours, theirs = [], [], []
+    ratios, ours, theirs, scraped = [], [], [], []
     for number in range(rounds):
         before = measure(against, requests)
         now = measure(ROOT, requests)
         ours.append(now)
         theirs.append(before)
         ratios.append(now / before)
-        click.echo(f"round {number + 1}: before {before:7.1f} us, now {now:7.1f} us, ratio {now / before:.3f}")
+        line = f"round {number + 1}: before {before:7.1f} us, now {now:7.1f} us, ratio {now / before:.3f}"
+        if figures:
+            scraped.append(measure(ROOT, requests, figures=True) / now)
+            line += f", figures on / off {scraped[-1]:.3f}"
+        click.echo(line)
+    if scraped:
+        click.echo(f"median figures on / off {statistics.median(scraped):.3f} "
+                   f"(from {min(scraped):.3f} to {max(scraped):.3f})")
     click.echo(f"median: before {statistics.median(theirs):.1f} us, now {statistics.median(ours):.1f} us, "
                f"ratio {statistics.median(ratios):.3f} (from {min(ratios):.3f} to {max(ratios):.3f})")
 
