--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -112,7 +112,8 @@
     turns = gevent.spawn(core.run)
     for part in (kernel, store, roster):
         gevent.spawn(part.serve)
-    log.info("serving", name=config.name, ports=[front.port for front in fronts], mgmt=mgmt.port if mgmt else None)
+    log.info("serving", name=config.name, ports=[front.port for front in fronts], mgmt=mgmt.port if mgmt else None,
+             calls_share=config.settings.calls_share, shared=config.settings.shared_dependency)
     gc.freeze()
     stopped = False
     while not stopped:
