Explore the hand-over: a world where the notice is SIGTERM beside a second process

Need: the issue asks that the explorer know the hand-over and find its planted bugs. Change: scenario 'handover' (an order by Thrift with a key, a read by AJP, three ticks) offers 'hand over' instead of the drain notice; it runs Process.handover with the kill 2.7 s on.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(VENV)/bin/python -m pytest -q -n auto
 
 check: $(VENV)/ready
-	$(VENV)/bin/python -m myrtlespar check --scenario quick
+	$(VENV)/bin/python -m myrtlespar check --scenario quick --scenario handover
 
 lint: $(VENV)/ready
 	$(VENV)/bin/ruff check .
--- a/myrtlespar/check/events.py
+++ b/myrtlespar/check/events.py
@@ -28,6 +28,7 @@
 from myrtlespar.interface import Outcome
 
 REFUSED = Answer(Kind.REFUSED, retry_after_ms=500.0)
+HANDOVER_MS = 2700.0  # SIGKILL after a hand-over: the deadline of two ticks, and 0.7 s
 
 
 def apply(world: World, event: Event) -> None:
@@ -347,6 +348,12 @@
     _acts(w, w.desk.process.notice(w.now))
 
 
+def _hand_over(w: World) -> None:
+    """SIGTERM while a second process serves beside this one; it is killed as the drain would be."""
+    w.spend("notice")
+    _acts(w, w.desk.process.handover(w.now, HANDOVER_MS))
+
+
 def _move(w: World) -> None:
     w.spend("move")
     _acts(w, w.desk.process.say(Say.RELOAD))
@@ -429,7 +436,7 @@
     "kernel restart": _kernel_restart, "reply": _reply, "worker": _worker, "wire opened": _wire_opened,
     "wire refused": _wire_refused, "wire over": _wire_over, "wire broken": _wire_broken,
     "wire reply": _wire_reply, "wire doubled": _wire_doubled, "wire copy": _wire_copy,
-    "notice": _notice_to_leave, "move": _move, "bad reload": _bad_reload, "look": _look,
+    "notice": _notice_to_leave, "hand over": _hand_over, "move": _move, "bad reload": _bad_reload, "look": _look,
     "flushed": _flushed, "deaf": _deaf, "turn away": _turn_away, "tick": _tick,
     "kill": _kill}
 CALLERS = frozenset({"send", "whole", "cut short", "spoil", "turn away", "give up", "reset", "close"})
--- a/myrtlespar/check/scenarios.py
+++ b/myrtlespar/check/scenarios.py
@@ -30,6 +30,7 @@
     lives: int = 1  # of the server
     drain: bool = False
     notices: int = 1  # to leave, where there is a drain
+    handover: bool = False  # the notice is SIGTERM beside a second process: a hand-over, not a drain
     deaf: int = 0  # links that take nothing more before they break
     give_ups: int = 0
     resets: int = 0  # of clients' connections
@@ -74,6 +75,7 @@
     Scenario("deaf", (Try(),), breaks=1, deaf=1, ticks=2, begun=True),
     Scenario("gaps", (READ, READ), gaps=1, asks=1, ticks=1, begun=True),
     Scenario("kernels", (READ, READ), kernels=1, asks=1, ticks=1, begun=True),
+    Scenario("handover", (ORDER_T, Try("ajp")), drain=True, handover=True, ticks=3),
     Scenario("fronts", (Try("ajp"), Try()), drain=True, resets=1, ticks=2),
     Scenario("spoilt", (Try("ajp"),), drain=True, closes=1, spoils=1, ticks=3, bad_reloads=1, moves=1),
     Scenario("framed", (Try(),), drain=True, notices=2, resets=1, closes=1, spoils=1, give_ups=1, ticks=4),
--- a/myrtlespar/check/world.py
+++ b/myrtlespar/check/world.py
@@ -114,7 +114,7 @@
             self._link_events(out)
             self._store_events(out)
             if self.s.drain and self.left("notice", self.s.notices):
-                out.append(("notice",))
+                out.append(("hand over",) if self.s.handover else ("notice",))
             if self.left("move", self.s.moves):
                 out.append(("move",))
             if self.left("bad reload", self.s.bad_reloads):
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -66,6 +66,7 @@
 
 
 @pytest.mark.parametrize("name", ["answered twice", "grace ignored", "orders repeated after a break",
+                                  "hand-over leaves with answers owed",
                                   "key forgotten at its outcome", "requests taken after the close"])
 def test_a_planted_bug_is_found(name: str, tmp_path: Path) -> None:
     words = [sys.executable, "-m", "myrtlespar.check.hunt", name, "--save", str(tmp_path)]
