Hold abandoned calls against the store share for as long as they may linger

A probe of each process (calls in hand, their mean, the store book, pause) every 0.5 s showed the two processes left during a PAUSE at their moment cap of 15 calls each and a mean near 9, the paused one at 0; the store book agreed with the policy's count, so no call was lost between them. Ruled out: the moment cap alone (0.75 of the share still fell over; 0.3 held, so the store saw more than the policy counted). WIRE: the dependency counts abandoned calls too. decide.py _leave_core gave back a call at once when its run ended while calling, and only a timed-out call added its linger to the mean. Change: each abandoned or timed-out call is held for linger_ms, in the moment count and in the mean.

--- a/myrtlespar/decide.py
+++ b/myrtlespar/decide.py
@@ -117,6 +117,7 @@
         self.level, self.said = 0.0, -1.0
         self.calls_mean = self.calls_failed = self.last_trial = 0.0
         self.calls_out, self.failing, self.last_try = 0, 0.0, 0.0
+        self.lingering: deque[float] = deque()  # when abandoned calls may leave the dependency's hands
         even = [quota / max(1, settings.servers) for quota in settings.tenant_quotas]
         self.even = sum(even)
         self.gap_ms = 1000.0 / self.even if self.even > 0 else 0.0
@@ -162,7 +163,9 @@
         crowd = max(1.0, (self.on_core + self.reading) / self.cores)
         self.clock += min(step, STILL * self.tick_ms) / crowd
         over = max(1.0, self.s.calls_over_ms / 2)
-        self.calls_mean += (self.calls_out - self.calls_mean) * min(1.0, step / over)
+        while self.lingering and self.lingering[0] <= now:
+            self.lingering.popleft()
+        self.calls_mean += (self.calls_out + len(self.lingering) - self.calls_mean) * min(1.0, step / over)
         for tenant, quota in enumerate(self.s.tenant_quotas):
             rate = self._share_rate(quota)
             self.tokens[tenant] = min(self._depth(rate), self.tokens[tenant] + step * rate / 1000)
@@ -560,7 +563,9 @@
             job.core_ms += self.clock - job.mark
         elif job.state in (AT_CALL, CALLING):
             self.waiters -= 1
-            self.calls_out -= int(job.state == CALLING)
+            if job.state == CALLING:  # abandoned: it may stay in the dependency's hands for a while
+                self.calls_out -= 1
+                self._linger()
         self.progress = self.now
         if self.stalled:
             self.stalled = False
@@ -618,7 +623,7 @@
         good = event.outcome is Outcome.OK
         self._watch_dependency(job.cls, good, event.elapsed_ms)
         if event.outcome is Outcome.TIMED_OUT:
-            self.calls_mean += self.s.linger_ms / max(1.0, self.s.calls_over_ms)
+            self._linger()
         job.state = AT_CALL
         if good:
             return self._return_to_core(job)
@@ -651,12 +656,18 @@
         self.out.append(api.SkipCall(job.id))
         self._return_to_core(job)
 
+    def _linger(self) -> None:
+        if self.s.linger_ms > 0:
+            self.lingering.append(self.now + self.s.linger_ms)
+
     def _room_to_call(self, at_once: int) -> bool:
         """Keep calls in hand well within the share in the mean, and at a moment within it or `at_once`.
 
-        Guards against all servers filling their shares at once, given-up calls that linger included."""
+        Guards against all servers filling their shares at once, given-up calls that linger included: the
+        dependency counts an abandoned call for as long as it may keep it."""
         share = self.s.calls_share if self.s.shared_dependency and self.s.calls_share > 0 else math.inf
-        return self.calls_out < max(at_once, share) and self.calls_mean < CALLS_PART * share
+        held = self.calls_out + len(self.lingering)
+        return held < max(at_once, share) and self.calls_mean < CALLS_PART * share
 
     def _try_calls(self) -> None:
         for _ in range(len(self.at_call)):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -470,3 +470,18 @@
     server.arrive(4301, "well", 3)
     server.arrive(4302, "too", 3)
     assert server.said(api.Run, "well") and server.said(api.Run, "too")
+
+
+def test_an_abandoned_call_is_held_against_the_share_for_as_long_as_it_may_linger() -> None:
+    server = Server(shared_dependency=True, calls_share=2.0, linger_ms=1000.0, calls_over_ms=60000.0)
+    for n, id in enumerate("abc"):
+        server.arrive(10.0 * n, id, 3)
+    server.at(40.0, api.CallNeeded("a"), api.CallNeeded("b"))
+    assert {call.id for call in server.said(api.Call)} == {"a", "b"}
+    server.at(50.0, api.CallerGone("a"), api.RunEnded("a", Outcome.STOPPED, 50.0))  # its call stays below
+    server.at(60.0, api.CallNeeded("c"))
+    assert not server.said(api.Call, "c")
+    server.at(1000.0)
+    assert not server.said(api.Call, "c")
+    server.at(1100.0)  # a's call may have left the dependency's hands by now
+    assert server.said(api.Call, "c")
