--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -170,7 +171,11 @@
     def _next_turn(self) -> float:
         """When something is due if nothing happens. Guards against turns that come early and find nothing."""
         wake = min(at for at, _ in self._wakes)
-        return min(self._sweep_at, wake if self._asked else wake - self.limits.gauge_lead_ms)
+        return min(self._sweep_at, wake, math.inf if self._asked else self._ask_at())
+
+    def _ask_at(self) -> float:
+        """When the gauges for the next tick are due; ticks with another token than 0 need none."""
+        return min((at for at, token in self._wakes if not token), default=math.inf) - self.limits.gauge_lead_ms
 
     def stop(self) -> None:
         """End the greenlet after its present turn."""
@@ -180,7 +185,7 @@
     def _turn(self) -> None:
         now = unix_ms()
         self.counters.add("core.turn")
-        if not self._asked and now >= min(at for at, _ in self._wakes) - self.limits.gauge_lead_ms:
+        if not self._asked and now >= self._ask_at():
             self._asked = True
             if self.gauges:
                 self.gauges.ask()
@@ -190,7 +195,7 @@
         ticks = [wake for wake in self._wakes if wake[0] <= now]
         if ticks:
             self._wakes = [wake for wake in self._wakes if wake[0] > now]
-            self._asked = False
+            self._asked = self._asked and all(token for _, token in ticks)
             self.counters.add("core.tick", len(ticks))
             seen = self.gauges.latest(now) if self.gauges else []
             events.extend(api.Tick(token, seen) for _, token in ticks)
--- a/myrtlespar/decide.py
+++ b/myrtlespar/decide.py
@@ -52,7 +52,8 @@
 USUAL_AIM = 1100.0  # ms; where the tightest aim is shorter, call backoff and trials follow it
 LOG_LINES = 150  # lines an instance may print in its life
 
-NEW, HELD, ASIDE, LATE, JOINED, RUNNING, AT_CALL, CALLING, OVER = range(9)
+NEW, HELD, ASIDE, LATE, JOINED, RUNNING, AT_CALL, CALLING, OVER, ROOMLESS = range(10)
+FOR_ROOM = 1  # token of the ticks that are asked for only to start what the fleet has room for again
 STARTED = (RUNNING, AT_CALL, CALLING)
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT)
 
@@ -78,7 +79,7 @@
         self.s, self.seed = settings, seed
         self.cores = max(1, settings.cores)
         self.tick_ms = min(TICK_MS, max(1.0, settings.answer_slack_ms / 2))
-        self.now = self.born = self.last_tick = self.next_wake = -1.0
+        self.now = self.born = self.last_tick = self.next_wake = self.room_wake = -1.0
         self.awake, self.still_ms, self.resumed = 0.0, 0.0, -math.inf
         self.out: list[api.Action] = []
         self.jobs: dict[str, Job] = {}
@@ -145,11 +146,15 @@
         self._end_useless()
         self._answer_due()
         self._move_flag()
+        if self.fleet:
+            self._take_room()
         self._start_work()
         self._try_calls()
         if self.next_wake <= now:
             self.next_wake = now + self.tick_ms
             self.out.append(api.Wake(self.tick_ms, 0))
+        if self.fleet:
+            self._wake_for_room()
         out, self.out = self.out, []
         return out
 
@@ -425,6 +430,8 @@
         if job.state != JOINED and job.kept:
             self.out.append(api.Forget(job.id))
             self._drop_key(job.id)
+        if job.state == ROOMLESS and self.fleet:
+            self.fleet.over(job.id)
         self._leave_wait(job)
         self._end(job)
 
@@ -463,7 +470,7 @@
             job = heapq.heappop(self.due)[2]
             if job.state == OVER or job.answered or job.due > self.now:
                 continue
-            if job.state in (HELD, ASIDE, LATE):
+            if job.state in (HELD, ASIDE, LATE, ROOMLESS):
                 self._refuse(job, last=True)
             else:
                 self._fail(job)
@@ -483,12 +490,14 @@
         """Refuse what can no longer start in time (the sojourn bound) and what T1 has run out for."""
         while self.waits and self.waits[0][0] <= self.now:
             job = heapq.heappop(self.waits)[2]
-            if job.state in (HELD, ASIDE) and (ends := self._give_up_at(job)) > self.now:
+            if job.state in (HELD, ASIDE, ROOMLESS) and (ends := self._give_up_at(job)) > self.now:
                 self._queue(self.waits, ends, job)
             elif job.state == HELD:
                 self._too_late(job)
             elif job.state == ASIDE:
                 self._refuse(job, last=not self._others_may(job))
+            elif job.state == ROOMLESS and self.fleet:
+                self._refuse(job, False, self.fleet.turned_away(job.id, self._overload_mark()))
         while self.late and self.late[0].due - self.now < self.elapsed[self.late[0].cls]:
             if (late := self.late.popleft()).state == LATE:
                 self._refuse(late, last=True)
@@ -541,12 +550,41 @@
                 return self._log_bound("memory")
             after = self.fleet.room(job.id, job.cls, job.sender) if self.fleet else 0.0
             if after > 0:
-                self._refuse(job, False, after)
+                self._await_room(job, after)
             else:
                 self._run(job)
         if self.on_core + self.waiters + 1 > crowd and sum(self.held) > 0:
             self._log_bound("crowd")
 
+    def _await_room(self, job: Job, after: float) -> None:
+        """Hold what the fleet will have room for in time, refuse the rest at once.
+
+        Guards against room that lies free until the next request comes."""
+        assert self.fleet is not None
+        if job.state == LATE or self.now + after > self._give_up_at(job):
+            return self._refuse(job, False, self.fleet.turned_away(job.id, after))
+        self._leave_wait(job)  # it waits for no core
+        self.held_kb += job.kb
+        job.state = ROOMLESS
+        self.fleet.wait(job.id, self._latest_start(job))
+
+    def _take_room(self) -> None:
+        """What the fleet has room for again stands in front of its lane, as it came before what is there."""
+        assert self.fleet is not None
+        for id in reversed(self.fleet.ready()):
+            job = self.jobs[id]
+            job.state = HELD
+            self.held[job.lane] += job.size
+            if not job.over and job.tenant < len(self.pledged):
+                self.pledged[job.tenant] += 1
+            self.hold[job.lane].appendleft(job)
+
+    def _wake_for_room(self) -> None:
+        after = self.fleet.next_ms() if self.fleet else math.inf
+        if self.now + after < self.next_wake and (self.now + after < self.room_wake or self.room_wake <= self.now):
+            self.room_wake = self.now + after
+            self.out.append(api.Wake(max(1.0, after), FOR_ROOM))
+
     def _run(self, job: Job) -> None:
         self._leave_wait(job)
         if job.tenant < len(self.tokens):
@@ -731,6 +769,8 @@
     # Housekeeping, health, drain and what callers are told.
 
     def _tick(self, event: api.Tick) -> None:
+        if event.token == FOR_ROOM:
+            return
         step, self.last_tick = self.now - self.last_tick, self.now
         gauges = dict(zip(self.s.gauges, event.gauges, strict=False))
         others = gauges.get("runnable", self.on_core) - self.on_core
--- a/myrtlespar/emulate/limits.py
+++ b/myrtlespar/emulate/limits.py
@@ -12,6 +12,7 @@
 from myrtlespar.net.codec.quota import Letter, encode
 from myrtlespar.quota.agent import Agent, Effect
 from myrtlespar.quota.messages import Message, Tell
+from myrtlespar.quota.places import Places
 from myrtlespar.quota.terms import GrantTerms, Limit
 
 
@@ -30,13 +31,17 @@
     """Agents of one fleet with one limit, all here, under one demand function."""
 
     def __init__(self, members: int, limit: Limit, terms: GrantTerms, seed: int, hop_ms: float = 1.0,
-                 keys: int = 0, sizes: bool = False) -> None:
-        """With `keys`, each request is of one of so many callers, each with the limit by itself."""
-        self.keys, self.sizes = keys, sizes
+                 keys: int = 0, sizes: bool = False, hold_ms: float = 0.0) -> None:
+        """With `keys`, each request is of one of so many callers, each with the limit by itself. A request waits up
+        to `hold_ms` for its place."""
+        self.keys, self.sizes, self.hold_ms = keys, sizes, hold_ms
         self.engine, self.dice, self.limit, self.hop_ms = Engine(), Random(seed), limit, hop_ms
         self.names = [f"m{n}" for n in range(members)]
         self.agents = {name: Agent((name, 1), terms, {"x": limit}, frozenset(self.names), 0.0) for name in self.names}
+        self.places = {name: Places(agent) for name, agent in self.agents.items()}
         self.rates = dict.fromkeys(self.names, 0.0)
+        self._count = 0
+        self._until: dict[str, float] = {}  # of those that wait
         self.seen = Moved()
         self._window: deque[float] = deque()
         for agent in self.agents.values():
@@ -48,6 +53,8 @@
     def _tick(self, name: str) -> None:
         agent, now = self.agents[name], self.engine.now
         self._carry(name, agent.tick(now))
+        if self.places[name].waiting:
+            self._ready(name)
         self.engine.at(max(agent.next_at(), now + 1.0), self._tick, name)
 
     def _carry(self, name: str, effects: list[Effect]) -> None:
@@ -68,17 +75,36 @@
             return
         self.engine.at(now + self.dice.expovariate(rate) * 1000, self._want, name)
         self.seen.tries[int(now / 1000)] += 1
-        agent = self.agents[name]
         key = f"x/{self.dice.randrange(self.keys)}" if self.keys else "x"
-        if agent.look(now, key).ok:
-            agent.use(now, key)
-            self.seen.starts[int(now / 1000)] += 1
-            if self.keys:
-                return
-            while self._window and self._window[0] <= now - self.limit.window_ms:
-                self._window.popleft()
-            self._window.append(now)
-            self.seen.most = max(self.seen.most, len(self._window))
+        self._count += 1
+        self._ask(name, f"{self._count}", key, now + self.hold_ms)
+
+    def _ask(self, name: str, id: str, key: str, until: float) -> None:
+        now, places = self.engine.now, self.places[name]
+        refused, room = places.ask(now, id, (key,))
+        if refused:
+            if now + room.after_ms <= until:
+                places.wait(id, until, (key,))
+                self._until[id] = until
+                self.engine.at(until, self._late, name, id)
+                self.engine.at(now + room.after_ms, self._ready, name)
+            return
+        self.seen.starts[int(now / 1000)] += 1
+        if self.keys:
+            return
+        while self._window and self._window[0] <= now - self.limit.window_ms:
+            self._window.popleft()
+        self._window.append(now)
+        self.seen.most = max(self.seen.most, len(self._window))
+
+    def _ready(self, name: str) -> None:
+        places = self.places[name]
+        for id in places.ready(self.engine.now):
+            self._ask(name, id, "x", self._until.pop(id, self.engine.now))
+
+    def _late(self, name: str, id: str) -> None:
+        self.places[name].over(id)
+        self._until.pop(id, None)
 
     def run(self, until_ms: float) -> None:
         """On to that time."""
--- a/myrtlespar/fleet/limits.py
+++ b/myrtlespar/fleet/limits.py
@@ -18,8 +18,10 @@
 from myrtlespar.net.peers import Peers
 from myrtlespar.net.peers import monotonic_ms as true_ms
 from myrtlespar.quota.agent import Agent, Effect, range_of
+from myrtlespar.quota.holder import ROOM, Room
 from myrtlespar.quota.messages import Tell
-from myrtlespar.quota.terms import Limit, Of
+from myrtlespar.quota.places import Places
+from myrtlespar.quota.terms import Limit
 
 log = structlog.get_logger()
 
@@ -36,7 +38,8 @@
         self.admitted: dict[str, int] = {}
         self._applying = [[(name, limit) for name, limit in settings.limits.items() if limit.cls in ("", cls)]
                           for cls in classes]
-        self._held: dict[str, list[str]] = {}  # request: keys of limits on what is in hand
+        self.places: Places | None = None
+        self._asked: tuple[str, list[str], str, Room] = "", [], "", ROOM  # the last that found no room
         self._why: dict[str, dict[str, Any]] = {}
         unknown = {limit.cls for limit in settings.limits.values()} - {"", *classes}
         if unknown:
@@ -50,6 +53,7 @@
         """The address is ours: take part."""
         names, now = self.settings.roll.names, self.now()
         self.agent = Agent((self.settings.name, boot), self.settings.grants, self.settings.limits, names, now)
+        self.places = Places(self.agent)
         self.peers.others[MAGIC[:3]] = self._heard
         gevent.spawn(self._clock)
 
@@ -99,36 +103,62 @@
     # The policy's port.
 
     def room(self, id: str, cls: int, sender: int) -> float:
-        """0: there is room under every limit, and it is taken. Otherwise in how many ms there may be, spread."""
+        """0: there is room under every limit, and it is taken. Otherwise in how many ms there may be."""
         applying = self._applying[cls]
         if not applying:
             return 0.0
-        now, agent = self.now(), self.agent
-        if agent is None:
-            return 100.0 * (1 + self.dice.random())
+        now, places = self.now(), self.places
+        if places is None:
+            return 100.0
         keys = [self._key(name, limit, sender) for name, limit in applying]
-        for key in keys:
-            room = agent.look(now, key)
-            if not room.ok:
-                self.counters.add("limits.refused")
-                name = key.partition("/")[0]
-                self.refused[name] = self.refused.get(name, 0) + 1
-                self._why[name] = {"key": key, "at": time.time() * 1000, "allowance": room.allowance,
-                                   "used": room.used, "granted": room.granted, "keeper": agent.keeper(key),
-                                   "granted_for_ms": round(room.left_ms)}
-                return room.after_ms * (1 + self.dice.random())
-        for key, (name, limit) in zip(keys, applying, strict=True):
-            agent.use(now, key)
+        key, room = places.ask(now, id, keys)
+        if key:
+            self._asked = id, keys, key, room
+            return room.after_ms
+        for name, _ in applying:
             self.admitted[name] = self.admitted.get(name, 0) + 1
-            if limit.of is Of.AT_ONCE:
-                self._held.setdefault(id, []).append(key)
         return 0.0
 
+    def wait(self, id: str, order: float) -> None:
+        """It waits for the room that it was just told of; the lowest order is first."""
+        if self.places is not None and self._asked[0] == id:
+            self.counters.add("limits.held")
+            self.places.wait(id, order, self._asked[1])
+
+    def turned_away(self, id: str, after_ms: float) -> float:
+        """It is refused for want of room: when its caller is to come back, spread over the time behind `after_ms`."""
+        asked, _, key, room = self._asked
+        if self.places is None or self.agent is None:
+            return after_ms * (1 + self.dice.random())
+        if id in self.places.waiting:  # it was held as long as it was of use
+            keys = self.places.waiting[id][1]
+            key = next((one for one in keys if self.agent.free(self.now(), one) <= 0), keys[0])
+            room = self.agent.look(self.now(), key, 0, True)
+        elif id != asked:
+            key = ""
+        if key:
+            name = key.partition("/")[0]
+            self.counters.add("limits.refused")
+            self.refused[name] = self.refused.get(name, 0) + 1
+            self._why[name] = {"key": key, "at": time.time() * 1000, "allowance": room.allowance,
+                               "used": room.used, "granted": room.granted, "keeper": self.agent.keeper(key),
+                               "granted_for_ms": round(room.left_ms), "waiting": len(self.places.waiting)}
+        return after_ms * (1 + self.dice.random())
+
+    def ready(self) -> list[str]:
+        """Waiting ones that may ask for room again now."""
+        places = self.places
+        return places.ready(self.now()) if places is not None and places.waiting else []
+
+    def next_ms(self) -> float:
+        """In how long the first waiting one may have room; infinity if that is not known."""
+        places = self.places
+        return places.next_ms(self.now()) if places is not None and places.waiting else float("inf")
+
     def over(self, id: str) -> None:
-        """A run that was given room has ended, or never began."""
-        for key in self._held.pop(id, ()) if self._held else ():
-            if self.agent is not None:
-                self.agent.ended(key)
+        """It has ended, or will never ask again."""
+        if self.places is not None:
+            self.places.over(id)
 
     def _key(self, name: str, limit: Limit, sender: int) -> str:
         if not limit.by:
--- a/myrtlespar/interface.py
+++ b/myrtlespar/interface.py
@@ -273,10 +273,22 @@
 
 
 class FleetPort(Protocol):
-    """What the policy is told of limits that hold for the whole fleet. Never waits."""
+    """What the policy is told of limits that hold for the whole fleet. Nothing here ever waits."""
 
     def room(self, id: str, cls: int, sender: int) -> float:
         """0: there is room for this request, and it is taken. Otherwise in how many ms there may be."""
 
+    def wait(self, id: str, order: float) -> None:
+        """It is held until there is the room that it was just told of; the lowest order is first."""
+
+    def ready(self) -> list[str]:
+        """Held ones that may ask for room again now."""
+
+    def next_ms(self) -> float:
+        """In how long the first held one may have room; infinity if that is not known."""
+
+    def turned_away(self, id: str, after_ms: float) -> float:
+        """It is refused for want of room: when its caller is to come back."""
+
     def over(self, id: str) -> None:
-        """A run that was given room has ended, or never began."""
+        """A run that was given room has ended, or one that was held will never ask again."""
--- a/myrtlespar/quota/agent.py
+++ b/myrtlespar/quota/agent.py
@@ -61,10 +61,18 @@
         """The limit that a key belongs to: `limit` or `limit/value`."""
         return self.limits.get(key.partition("/")[0])
 
-    def look(self, now: float, key: str) -> Room:
-        """Whether there is room for one more of a key. Never waits."""
+    def look(self, now: float, key: str, ahead: int = 0, again: bool = False) -> Room:
+        """Whether there is room for one more of a key behind so many that wait for it. Never waits."""
         limit = self.limit_of(key)
-        return ROOM if limit is None else self.holder.look(now, key, limit)
+        return ROOM if limit is None else self.holder.look(now, key, limit, ahead, again)
+
+    def free(self, now: float, key: str) -> int:
+        """How many more of a key there is room for."""
+        return self.holder.free(now, key)
+
+    def room_ms(self, now: float, key: str) -> float:
+        """In how long there is room for one more of a key; infinity if that is not known."""
+        return self.holder.room_ms(now, key)
 
     def use(self, now: float, key: str) -> None:
         """Use one of a key that there is room for."""
--- a/myrtlespar/quota/holder.py
+++ b/myrtlespar/quota/holder.py
@@ -77,20 +77,32 @@
         quiet = self.retired or now < self.began + self.terms.silent_ms(share.limit)
         return share.granted(now) + (0 if quiet and share.limit.kind is Kind.STRICT else share.standing)
 
-    def look(self, now: float, key: str, limit: Limit) -> Room:
-        """Whether there is room for one more; it counts as demand either way."""
+    def look(self, now: float, key: str, limit: Limit, ahead: int = 0, again: bool = False) -> Room:
+        """Whether there is room for one more behind so many that wait; unless it asks `again`, it counts as demand
+        either way."""
         share = self.share(key, limit)
-        share.tries.add(now)
-        share.wanted_at = now
+        if not again:
+            share.tries.add(now)
+            share.wanted_at = now
         if limit.kind is Kind.ADVISORY:
             return ROOM
         allowance, used = self.allowance(now, share), share.meter.look(now)
-        if used < allowance:
+        if used + ahead < allowance:
             return ROOM
-        at = share.meter.room_at(now, allowance)
+        at = share.meter.room_at(now, allowance, ahead)
         after = at - now if at < float("inf") else self.terms.moved_ms(limit)
         return Room(False, max(after, 1.0), allowance, used, share.granted(now), share.until - now)
 
+    def free(self, now: float, key: str) -> int:
+        """How many more there is room for."""
+        share = self.shares.get(key)
+        return self.allowance(now, share) - share.meter.look(now) if share is not None else 0
+
+    def room_ms(self, now: float, key: str) -> float:
+        """In how long there is room for one more; infinity if that is not known."""
+        share = self.shares.get(key)
+        return max(0.0, share.meter.room_at(now, self.allowance(now, share)) - now) if share else float("inf")
+
     def use(self, now: float, key: str) -> None:
         """Use one, right after `look` said that there is room."""
         self.shares[key].meter.add(now)
--- /dev/null
+++ b/myrtlespar/quota/places.py
@@ -0,0 +1,102 @@
+"""Requests and the keys that apply to them: who has a place, and who waits for one, in which order.
+
+A request that finds no room may wait: a place that is free a window later would else lie free until the next request
+comes. Waiting ones are let in by the order that the caller hands in; a newcomer stands behind all that wait for a key
+of its own. Nothing here decides whether waiting is worth it: `ask` says when there may be room, the caller decides."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Sequence
+
+from myrtlespar.quota.agent import Agent
+from myrtlespar.quota.holder import ROOM, Room
+from myrtlespar.quota.terms import Of
+
+
+class Places:
+    """All requests of one member that a limit applies to."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent = agent
+        self.waiting: dict[str, tuple[float, Sequence[str]]] = {}  # request: its order, its keys
+        self._rows: dict[str, list[tuple[float, str]]] = {}  # key: heap of (order, request), some of them gone
+        self._many: dict[str, int] = {}  # key: how many wait
+        self._hand: dict[str, list[str]] = {}  # request: keys of limits on what is in hand
+        self._out: set[str] = set()  # told that they may try again
+
+    def ask(self, now: float, id: str, keys: Sequence[str]) -> tuple[str, Room]:
+        """Take a place under every key, or none: the key without room, '' with a place taken. One that waited asks
+        as one that stands in front, and counts as demand no second time."""
+        again = id in self._out
+        if id in self.waiting:
+            self._leave(id)
+        worst, at = ROOM, ""
+        for key in keys:
+            room = self.agent.look(now, key, 0 if again else self._many.get(key, 0), again)
+            if not room.ok and (not at or room.after_ms > worst.after_ms):
+                worst, at = room, key
+        self._out.discard(id)
+        if at:
+            return at, worst
+        for key in keys:
+            self.agent.use(now, key)
+            limit = self.agent.limit_of(key)
+            if limit is not None and limit.of is Of.AT_ONCE:
+                self._hand.setdefault(id, []).append(key)
+        return "", ROOM
+
+    def wait(self, id: str, order: float, keys: Sequence[str]) -> None:
+        """It waits for a place; the lowest order is first."""
+        self.waiting[id] = order, keys
+        for key in keys:
+            heapq.heappush(self._rows.setdefault(key, []), (order, id))
+            self._many[key] = self._many.get(key, 0) + 1
+
+    def ready(self, now: float) -> list[str]:
+        """Those that may ask again now, in their order: each key's first ones, as many as there is room for."""
+        out: list[str] = []
+        for key in list(self._rows):
+            free = self.agent.free(now, key) - sum(key in self.waiting[id][1] for id in out)
+            while free > 0 and (id := self._first(key)) is not None:
+                keys = self.waiting[id][1]
+                if len(keys) > 1 and any(self.agent.free(now, other) <= 0 for other in keys):
+                    break  # it stands in front of one and behind another: nobody passes it
+                self._leave(id)
+                self._out.add(id)
+                out.append(id)
+                free -= 1
+        return out
+
+    def next_ms(self, now: float) -> float:
+        """In how long the first waiting one may have room; infinity if none waits, or nobody knows."""
+        first = float("inf")
+        for key in list(self._rows):
+            if (id := self._first(key)) is not None:
+                first = min(first, max(self.agent.room_ms(now, one) for one in self.waiting[id][1]))
+        return first
+
+    def over(self, id: str) -> None:
+        """It has ended, or will never ask again."""
+        if id in self.waiting:
+            self._leave(id)
+        self._out.discard(id)
+        if self._hand:
+            for key in self._hand.pop(id, ()):
+                self.agent.ended(key)
+
+    def _first(self, key: str) -> str | None:
+        rows = self._rows.get(key, [])
+        while rows and (rows[0][1] not in self.waiting or self.waiting[rows[0][1]][0] != rows[0][0]):
+            heapq.heappop(rows)
+        if not rows:
+            self._rows.pop(key, None)
+            return None
+        return rows[0][1]
+
+    def _leave(self, id: str) -> None:
+        _, keys = self.waiting.pop(id)
+        for key in keys:
+            self._many[key] -= 1
+            if not self._many[key]:
+                del self._many[key]
--- a/myrtlespar/quota/use.py
+++ b/myrtlespar/quota/use.py
@@ -35,18 +35,23 @@
             self.rows.append([now, now, many])
         self.count += many
 
-    def room_at(self, now: float, allowance: int) -> float:
-        """When there is room for one more, if nothing else comes; infinity with no allowance."""
+    def room_at(self, now: float, allowance: int, ahead: int = 0) -> float:
+        """When there is room for one more behind so many that wait, if all of them start as soon as they can;
+        infinity with no allowance."""
         if allowance <= 0:
             return float("inf")
-        if self.look(now) < allowance:
+        need = self.look(now) + ahead - allowance + 1  # that have to fade first
+        if need <= 0:
             return now
-        gone = 0.0
+        rounds = max(0, -((self.count - need) // allowance)) if need > self.count else 0
+        need -= rounds * allowance  # those ahead fill the allowance so many times over
+        gone, at = 0.0, now
         for _, latest, many in self.rows:
             gone += many
-            if self.count - gone < allowance:
-                return latest + self.span_ms
-        return now
+            at = latest + self.span_ms
+            if gone >= need:
+                break
+        return at + rounds * self.span_ms
 
 
 class Hand:
@@ -69,6 +74,6 @@
         """One has ended."""
         self.count -= 1
 
-    def room_at(self, now: float, allowance: int) -> float:
+    def room_at(self, now: float, allowance: int, ahead: int = 0) -> float:
         """Now, or unknown: the time a run takes is not ours."""
-        return now if self.count < allowance else float("inf")
+        return now if self.count + ahead < allowance else float("inf")
