Free what a rate's holder no longer uses at once; demand moves only past its noise

A part that went from one holder to another lay fallow for a whole window, as the keeper waited for what it could be told: holders now tell the starts in their last window beyond the standing share, as they told runs in hand. A member with four starts a second was taken for idle by one quiet second (factor 1.5 of a small mean): the mean is now left past three roots of it.

--- a/myrtlespar/quota/holder.py
+++ b/myrtlespar/quota/holder.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -48,7 +49,8 @@
 
 
 ROOM = Room(True)
-SWING, SWING_LEAST = 1.5, 3  # demand that leaves its mean by this factor, and this much more, has moved
+SWING, SWING_LEAST = 3.0, 3  # demand that leaves its mean by so many roots of it, upwards by this much more, has moved
+SILENT = 1.5  # windows without any demand: it has gone
 STEADY = 1.25  # and a tenth: a mean within so much of what was asked last is the same
 MEAN_MS = 8000.0  # over which the mean forgets
 
@@ -128,22 +130,23 @@
                 need = share.tries.look(now)
             if now - share.wanted_at > self.terms.cold_ms:
                 share.mean, share.want, share.looks = 0.0, 0, 0
-            want = min(max(0, self._mean(share, need) - share.standing), share.limit.amount)
+            want = min(max(0, self._mean(now, share, need) - share.standing), share.limit.amount)
             warm = now - share.wanted_at < self.terms.cold_ms  # seldom wanted: one place is kept for the next
             peak = min(max(want, need + need // 8 + 1 - share.standing), share.limit.amount) if need or warm else 0
             live = share.granted(now) > 0 or any(at > now for _, at in share.past)
             if want or peak or live:
-                busy = max(0, used - share.standing) if isinstance(share.meter, Hand) else 0
-                out[key] = Want(key, want, share.took, busy, peak)
+                out[key] = Want(key, want, share.took, max(0, used - share.standing), peak)
             elif not used and now - share.wanted_at > self.terms.cold_ms:
                 del self.shares[key]  # a cold key costs nothing
         return out
 
-    def _mean(self, share: Share, need: int) -> int:
+    def _mean(self, now: float, share: Share, need: int) -> int:
         """Demand in whole parts, slow to change: what swings in it would be set aside at its height for a whole
         linger. A move of demand is no swing, and is followed at once."""
         share.looks = share.looks + 1 if need or share.mean > 0.5 else 0
-        if not share.mean / SWING - SWING_LEAST <= need <= share.mean * SWING + SWING_LEAST:
+        swing = SWING * math.sqrt(share.mean)
+        silent = not need and now - share.wanted_at > SILENT * share.limit.window_ms
+        if silent or not share.mean - swing <= need <= share.mean + swing + SWING_LEAST:
             share.mean, share.looks = need, 1
         else:
             share.mean += (need - share.mean) * max(self.terms.ask_ms / MEAN_MS, 1 / (share.looks + 1))
--- a/myrtlespar/quota/keeper.py
+++ b/myrtlespar/quota/keeper.py
@@ -10,7 +10,7 @@
 
 from myrtlespar.quota.lease import Life
 from myrtlespar.quota.messages import Want
-from myrtlespar.quota.terms import GrantTerms, Limit, Of
+from myrtlespar.quota.terms import GrantTerms, Limit
 
 FIRM = 0.8  # of its average is a holder's part while there is not enough for all
 
@@ -100,7 +100,7 @@
             return None
         part.no, part.want, part.asked_at = no, max(0, min(want.want, pool)), now
         part.peak = max(part.want, min(want.peak, pool))
-        self._took(now, part, want, limit)
+        self._took(part, want)
         others = sum(one.out(now) for life, one in parts.items() if life != by)
         free = pool - others
         if limit.kind.value == "strict" and self.unknown and now < self.known_at(limit):
@@ -116,19 +116,14 @@
             part.rows.append([no, amount, lapse])
         return amount
 
-    def _took(self, now: float, part: Part, want: Want, limit: Limit) -> None:
-        """It took the answer to a later ask, so no earlier one is in use."""
+    def _took(self, part: Part, want: Want) -> None:
+        """It took the answer to that ask, so no earlier one may be used any more. What it has in use is told: starts
+        in the last window, or runs in hand, that an earlier grant let in; they never grow beyond what it took."""
         if not any(row[0] == want.took for row in part.rows):
             return
-        if limit.of is Of.RATE:
-            fades = now + self.terms.waited(limit.linger_ms)
-            for row in part.rows:
-                if row[0] < want.took:
-                    row[2] = min(row[2], fades)
-            return
         part.rows = [row for row in part.rows if row[0] >= want.took]
         for row in part.rows:
-            if row[0] == want.took:  # runs begun before go on
+            if row[0] == want.took:
                 row[1] = max(row[1], want.busy)
 
     def outstanding(self, now: float, key: str) -> int:
