Pool calls to the store, budget repeats over the fleet, limit by key prefix

Open points of the limits issue. counts: calls limits what all servers together have in the store's hands (abandoned calls linger in it; each server's own share stays its bound). repeats: {share, burst}: a refusal is final once the budget is pledged, and a repeat beyond it is refused; needs no message. by: prefix keys a limit by the idempotency key's prefix. Nothing of it is loaded without MYRTLESPAR_FLEET.

--- a/myrtlespar/decide.py
+++ b/myrtlespar/decide.py
@@ -287,8 +287,11 @@
         self.open_by[job.sender] = self.open_by.get(job.sender, 0) + 1
         unread = self.now - max(job.arrived, self.resumed)  # a stillness of the process is no queue
         self.unread_ms += FAST_LEARN * (max(0.0, unread) - self.unread_ms)
+        fed = self.fleet is None or self.fleet.tried(event.further_try)  # guards against repeats that feed an overload
         if job.prior:
             self._join(job)
+        elif not fed:
+            self._refuse(job, last=True)
         elif self._may_hold(job):
             self._hold(job)
 
@@ -439,6 +442,7 @@
         """Only for what never ran here; `last` in overload, where another server would just read it. `after` is when
         a limit of the fleet may have room."""
         wait = after or max(self._wait(), self._overload_mark())  # as long as the waiting work needs
+        last = last or (self.fleet is not None and not self.fleet.may_repeat())
         self.out.append(api.Refuse(job.id, min(self.s.max_retry_after_ms, wait), last))
         self.refused += SLOW_LEARN * (1.0 - self.refused)
         self._drop_waiting(job)
@@ -609,7 +613,7 @@
             self.waiters -= 1
             if job.state == CALLING:  # abandoned: it may stay in the dependency's hands for a while
                 self.calls_out -= 1
-                self._linger()
+                self._linger(job)
         self.progress = self.now
         if self.stalled:
             self.stalled = False
@@ -669,7 +673,9 @@
         good = event.outcome is Outcome.OK
         self._watch_dependency(job.cls, good, event.elapsed_ms)
         if event.outcome is Outcome.TIMED_OUT:
-            self._linger()
+            self._linger(job)
+        elif self.fleet:
+            self.fleet.called(job.id, 0.0)
         job.state = AT_CALL
         if good:
             return self._return_to_core(job)
@@ -702,7 +708,9 @@
         self.out.append(api.SkipCall(job.id))
         self._return_to_core(job)
 
-    def _linger(self) -> None:
+    def _linger(self, job: Job) -> None:
+        if self.fleet:
+            self.fleet.called(job.id, self.s.linger_ms)
         if self.s.linger_ms > 0:
             self.lingering.append(self.now + self.s.linger_ms)
 
@@ -715,6 +723,10 @@
         held = self.calls_out + len(self.lingering)
         return held < max(at_once, share) and self.calls_mean < CALLS_PART * share
 
+    def _pooled(self, job: Job) -> bool:
+        """Room in what all servers together may have in the dependency's hands; the own share is a bound beside it."""
+        return self.fleet is None or self.fleet.call(job.id, job.cls)
+
     def _try_calls(self) -> None:
         for _ in range(len(self.at_call)):
             job = self.at_call.popleft()
@@ -735,10 +747,10 @@
             if 0 < share < self.cores:  # guards against calls that fill so small a share
                 limit = min(limit, CALLS_PART * share * self.s.calls_over_ms / self.cores)
             off = self.cut_off and self.now - self.last_trial <= PROBE_MS * self.scale
-            if off or limit < self.call_ms[job.cls] or not self._room_to_call(self.cores):
+            if off or limit < self.call_ms[job.cls] or not self._room_to_call(self.cores) or not self._pooled(job):
                 self._skip(job)
                 return True
-        elif not self._room_to_call(1):
+        elif not self._room_to_call(1) or not self._pooled(job):
             return False
         self.last_trial = self.now
         job.state = CALLING
--- a/myrtlespar/fleet/limits.py
+++ b/myrtlespar/fleet/limits.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -21,7 +21,8 @@
 from myrtlespar.quota.holder import ROOM, Room
 from myrtlespar.quota.messages import Tell
 from myrtlespar.quota.places import Places
-from myrtlespar.quota.terms import Limit
+from myrtlespar.quota.repeats import Repeats
+from myrtlespar.quota.terms import Counts, Limit, prefix
 
 log = structlog.get_logger()
 
@@ -30,15 +31,21 @@
     """Made once the address is ours; until then, and as long as nothing is known, only what needs nobody is let in."""
 
     def __init__(self, settings: FleetSettings, classes: Sequence[str], peers: Peers, counters: Counters,
-                 seed: int) -> None:
+                 seed: int, key_of: Callable[[str], str] = lambda id: "") -> None:
+        """`key_of` tells a request's idempotency key."""
         self.settings, self.peers, self.counters, self.dice = settings, peers, counters, Random(seed)
         self.rate = settings.clock_rate
         self.agent: Agent | None = None
         self.refused: dict[str, int] = {}
         self.admitted: dict[str, int] = {}
-        self._applying = [[(name, limit) for name, limit in settings.limits.items() if limit.cls in ("", cls)]
-                          for cls in classes]
+        rows = settings.limits.items()
+        self._applying, self._calling = ([[(name, limit) for name, limit in rows if limit.cls in ("", cls)
+                                           and limit.counts is what] for cls in classes] for what in Counts)
+        self._key_of: Callable[[str], str] = key_of
+        self.repeats = Repeats(settings.repeats) if settings.repeats is not None else None
+        self._no_call: set[str] = set()  # runs whose call found no room yet
         self.places: Places | None = None
+        self.calls: Places | None = None
         self._asked: tuple[str, list[str], str, Room] = "", [], "", ROOM  # the last that found no room
         self._why: dict[str, dict[str, Any]] = {}
         unknown = {limit.cls for limit in settings.limits.values()} - {"", *classes}
@@ -53,7 +60,7 @@
         """The address is ours: take part."""
         names, now = self.settings.roll.names, self.now()
         self.agent = Agent((self.settings.name, boot), self.settings.grants, self.settings.limits, names, now)
-        self.places = Places(self.agent)
+        self.places, self.calls = Places(self.agent), Places(self.agent)
         self.peers.others[MAGIC[:3]] = self._heard
         gevent.spawn(self._clock)
 
@@ -110,7 +117,7 @@
         now, places = self.now(), self.places
         if places is None:
             return 100.0
-        keys = [self._key(name, limit, sender) for name, limit in applying]
+        keys = [self._key(name, limit, id, sender) for name, limit in applying]
         key, room = places.ask(now, id, keys)
         if key:
             self._asked = id, keys, key, room
@@ -157,12 +164,57 @@
 
     def over(self, id: str) -> None:
         """It has ended, or will never ask again."""
+        self._no_call.discard(id)
         if self.places is not None:
             self.places.over(id)
 
-    def _key(self, name: str, limit: Limit, sender: int) -> str:
+    def call(self, id: str, cls: int) -> bool:
+        """Whether there is room for a call to the store, under every limit on those; if so, it is taken."""
+        applying = self._calling[cls]
+        if not applying:
+            return True
+        if self.calls is None:
+            return False
+        now = self.now()
+        self.calls.settle(now)
+        key, _ = self.calls.ask(now, id, [self._key(name, limit, id, 0) for name, limit in applying],
+                                id in self._no_call)
+        if key:
+            if id not in self._no_call:
+                self.counters.add("limits.call_waits")
+                self._no_call.add(id)
+            return False
+        self._no_call.discard(id)
+        for name, _ in applying:
+            self.admitted[name] = self.admitted.get(name, 0) + 1
+        return True
+
+    def called(self, id: str, after_ms: float) -> None:
+        """The call is over; the store may have it in hand for so long still."""
+        if self.calls is not None and after_ms > 0:
+            self.calls.linger(self.now(), id, after_ms)
+        elif self.calls is not None:
+            self.calls.over(id)
+
+    def tried(self, again: bool) -> bool:
+        """A first try or a repeat was read. False: there is no budget for this repeat."""
+        if self.repeats is None or self.repeats.tried(again):
+            return True
+        self.counters.add("limits.repeat_refused")
+        return False
+
+    def may_repeat(self) -> bool:
+        """Whether a caller that is refused now may be left free to try again."""
+        if self.repeats is None or self.repeats.may_repeat(self.now()):
+            return True
+        self.counters.add("limits.repeat_not_offered")
+        return False
+
+    def _key(self, name: str, limit: Limit, id: str, sender: int) -> str:
         if not limit.by:
             return name
+        if limit.by == "prefix":
+            return f"{name}/{prefix(self._key_of(id), limit.until)}"
         return f"{name}/{sender if limit.by == 'peer' else self.settings.site}"
 
     # What operators see.
--- a/myrtlespar/fleet/settings.py
+++ b/myrtlespar/fleet/settings.py
@@ -13,6 +13,7 @@
 from myrtlespar.membership.standing import Electorate
 from myrtlespar.membership.terms import Terms
 from myrtlespar.net.codec.peer import good_address, good_name, split
+from myrtlespar.quota.repeats import RepeatTerms
 from myrtlespar.quota.terms import GrantTerms, Kind, Limit
 
 KEY = "MYRTLESPAR_FLEET"
@@ -38,6 +39,7 @@
     membership: Terms = Terms()
     limits: dict[str, Limit] = {}
     grants: GrantTerms = GrantTerms()
+    repeats: RepeatTerms | None = None
     datagrams_per_s: int = 2000  # more are dropped and counted, so that a flood can't take the core
     clock_rate: float = 1.0  # rehearsals of a clock that runs fast or slow: what limits go by
     wall_shift_ms: int = 0  # rehearsals of a wrong clock: added to the wall clock, which matters for lives only
@@ -123,6 +125,8 @@
     fault = found.grants.fault()
     if fault:
         raise ConfigError(f"grants.{fault}")
+    if found.repeats is not None and found.repeats.fault():
+        raise ConfigError(f"repeats.{found.repeats.fault()}")
     members = sum(len(row) for row in found.electorate.sites.values()) if found.electorate else 0
     if 0 < found.grants.members_most < members:
         raise ConfigError(f"grants.members_most: the roll has {members} members, got {found.grants.members_most}")
@@ -132,8 +136,6 @@
         fault = limit.fault()
         if fault:
             raise ConfigError(f"limits.{name}.{fault}")
-        if limit.by not in ("", "peer", "site"):
-            raise ConfigError(f"limits.{name}.by: expected peer or site, got {limit.by!r}")
         if limit.kind is not Kind.ADVISORY and not members:
             raise ConfigError(f"limits.{name}.kind: {limit.kind.value} needs an electorate, as else nobody may grant")
 
--- a/myrtlespar/fleet/wiring.py
+++ b/myrtlespar/fleet/wiring.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -29,16 +29,16 @@
     """What `serve` holds when the fleet is on."""
 
     def __init__(self, settings: FleetSettings, path: str, counters: Counters, seed: int,
-                 classes: Sequence[str] = ()) -> None:
+                 classes: Sequence[str] = (), key_of: Callable[[str], str] = lambda id: "") -> None:
         self.settings, self.path, self.counters, self.seed = settings, path, counters, seed
         self.roll = settings.roll
         self.peers = Peers(settings.bind, settings.fleet, settings.name, settings.datagrams_per_s, counters,
                            self._make, self._changed)
         self.limits: Limits | None = None
-        if settings.limits:  # loaded only where some are set
+        if settings.limits or settings.repeats is not None:  # loaded only where some are set
             from myrtlespar.fleet.limits import Limits
 
-            self.limits = Limits(settings, classes, self.peers, counters, seed)
+            self.limits = Limits(settings, classes, self.peers, counters, seed, key_of)
         for scope in self.roll.even():
             log.warning("fleet: an even split leaves no majority", scope=scope or "fleet")
 
@@ -169,10 +169,10 @@
     return None if state is None else State(state).name.lower()
 
 
-def open_fleet(config: Config, counters: Counters) -> Fleet:
+def open_fleet(config: Config, counters: Counters, key_of: Callable[[str], str]) -> Fleet:
     """Read the file and take the address, before any client is taken. ConfigError names the faulty key."""
     settings = read_fleet(config.fleet, config.name)
-    fleet = Fleet(settings, config.fleet, counters, config.seed, config.class_names)
+    fleet = Fleet(settings, config.fleet, counters, config.seed, config.class_names, key_of)
     try:
         fleet.peers.open()
     except Taken:
--- a/myrtlespar/interface.py
+++ b/myrtlespar/interface.py
@@ -292,3 +292,15 @@
 
     def over(self, id: str) -> None:
         """A run that was given room has ended, or one that was held will never ask again."""
+
+    def call(self, id: str, cls: int) -> bool:
+        """Whether there is room for this run's call to the dependency; if so, it is taken."""
+
+    def called(self, id: str, after_ms: float) -> None:
+        """That call is over; the dependency may have it in hand for so long still."""
+
+    def tried(self, again: bool) -> bool:
+        """A first try or a repeat was read. False: the fleet takes no more repeats now."""
+
+    def may_repeat(self) -> bool:
+        """Whether a caller that is refused now may be left free to try again."""
--- a/myrtlespar/quota/holder.py
+++ b/myrtlespar/quota/holder.py
@@ -29,6 +29,7 @@
     mean: float = 0.0  # of the demand in a window, over some of them
     looks: int = 0  # that the mean was taken over
     want: int = 0
+    high: int = 0  # of what is in hand, the most since the last ask
     past: list[tuple[int, float]] = field(default_factory=list)  # grants that ended: amount, when
 
     def granted(self, now: float) -> int:
@@ -83,14 +84,17 @@
         """Whether there is room for one more behind so many that wait; unless it asks `again`, it counts as demand
         either way."""
         share = self.share(key, limit)
-        if not again:
+        share.wanted_at = now
+        hand = isinstance(share.meter, Hand)
+        if not again and not hand:
             share.tries.add(now)
-            share.wanted_at = now
         if limit.kind is Kind.ADVISORY:
             return ROOM
         allowance, used = self.allowance(now, share), share.meter.look(now)
         if used + ahead < allowance:
             return ROOM
+        if not again and hand:  # of what is in hand, the most at a time counts, and what found no room
+            share.tries.add(now)
         at = share.meter.room_at(now, allowance, ahead)
         after = at - now if at < float("inf") else self.terms.moved_ms(limit)
         return Room(False, max(after, 1.0), allowance, used, share.granted(now), share.until - now)
@@ -107,7 +111,10 @@
 
     def use(self, now: float, key: str) -> None:
         """Use one, right after `look` said that there is room."""
-        self.shares[key].meter.add(now)
+        share = self.shares[key]
+        share.meter.add(now)
+        if isinstance(share.meter, Hand):
+            share.high = max(share.high, share.meter.count)
 
     def ended(self, key: str) -> None:
         """A run of a limit on what is in hand is over."""
@@ -124,10 +131,9 @@
             if share.limit.kind is Kind.ADVISORY:
                 continue
             used = share.meter.look(now)
+            need = share.tries.look(now)
             if isinstance(share.meter, Hand):
-                need = used + share.tries.look(now) if share.wanted_at > now - self.terms.waited(1000) else used
-            else:
-                need = share.tries.look(now)
+                need, share.high = need + max(share.high, used), used
             if now - share.wanted_at > self.terms.cold_ms:
                 share.mean, share.want, share.looks = 0.0, 0, 0
             want = min(max(0, self._mean(now, share, need) - share.standing), share.limit.amount)
--- a/myrtlespar/quota/places.py
+++ b/myrtlespar/quota/places.py
@@ -24,11 +24,13 @@
         self._many: dict[str, int] = {}  # key: how many wait
         self._hand: dict[str, list[str]] = {}  # request: keys of limits on what is in hand
         self._out: set[str] = set()  # told that they may try again
+        self._fading: list[tuple[float, int, list[str]]] = []  # when, number, keys of what lingers
+        self._faded = 0
 
-    def ask(self, now: float, id: str, keys: Sequence[str]) -> tuple[str, Room]:
-        """Take a place under every key, or none: the key without room, '' with a place taken. One that waited asks
-        as one that stands in front, and counts as demand no second time."""
-        again = id in self._out
+    def ask(self, now: float, id: str, keys: Sequence[str], again: bool = False) -> tuple[str, Room]:
+        """Take a place under every key, or none: the key without room, '' with a place taken. One that waited, or
+        asks `again`, asks as one that stands in front, and counts as demand no second time."""
+        again = again or id in self._out
         if id in self.waiting:
             self._leave(id)
         worst, at = ROOM, ""
@@ -55,18 +57,18 @@
 
     def ready(self, now: float) -> list[str]:
         """Those that may ask again now, in their order: each key's first ones, as many as there is room for."""
-        out: list[str] = []
+        out: dict[str, Sequence[str]] = {}
         for key in list(self._rows):
-            free = self.agent.free(now, key) - sum(key in self.waiting[id][1] for id in out)
+            free = self.agent.free(now, key) - sum(key in keys for keys in out.values())
             while free > 0 and (id := self._first(key)) is not None:
                 keys = self.waiting[id][1]
                 if len(keys) > 1 and any(self.agent.free(now, other) <= 0 for other in keys):
                     break  # it stands in front of one and behind another: nobody passes it
                 self._leave(id)
                 self._out.add(id)
-                out.append(id)
+                out[id] = keys
                 free -= 1
-        return out
+        return list(out)
 
     def next_ms(self, now: float) -> float:
         """In how long the first waiting one may have room; infinity if none waits, or nobody knows."""
@@ -85,6 +87,19 @@
             for key in self._hand.pop(id, ()):
                 self.agent.ended(key)
 
+    def linger(self, now: float, id: str, after_ms: float) -> None:
+        """It has ended for us, but what it took may be in use for so long still."""
+        keys = self._hand.pop(id, None)
+        if keys:
+            self._faded += 1
+            heapq.heappush(self._fading, (now + self.agent.terms.waited(after_ms), self._faded, keys))
+
+    def settle(self, now: float) -> None:
+        """Free what no longer lingers."""
+        while self._fading and self._fading[0][0] <= now:
+            for key in heapq.heappop(self._fading)[2]:
+                self.agent.ended(key)
+
     def _first(self, key: str) -> str | None:
         rows = self._rows.get(key, [])
         while rows and (rows[0][1] not in self.waiting or self.waiting[rows[0][1]][0] != rows[0][0]):
--- a/myrtlespar/quota/terms.py
+++ b/myrtlespar/quota/terms.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from enum import StrEnum
 
 import msgspec
@@ -27,6 +28,16 @@
     AT_ONCE = "at once"  # runs in hand
 
 
+class Counts(StrEnum):
+    """What a limit on what is in hand counts."""
+
+    RUNS = "runs"
+    CALLS = "calls"  # of runs to the scene store
+
+
+BY = ("", "peer", "site", "prefix")
+
+
 class Limit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One limit of the file. Exactly one of `per_s` and `at_once`."""
 
@@ -34,10 +45,12 @@
     at_once: int | None = None
     kind: Kind = Kind.STRICT
     cls: str = msgspec.field(name="class", default="")  # a class of requests; empty: all
-    by: str = ""  # a key for each value of this: peer, site; empty: one key
+    counts: Counts = Counts.RUNS
+    by: str = ""  # a key for each value of this: peer, site, prefix (of the idempotency key); empty: one key
+    until: str = ":"  # of `prefix`: the key up to the first of these
     standing: float = 0.1  # this part of it is shared out for good, for members that are cut off
     window_ms: int = 1000  # of a rate
-    run_most_ms: int = 10_000  # of `at_once`: no run lasts longer
+    run_most_ms: int = 10_000  # of `at_once`: no run, or call, lasts longer
 
     @property
     def of(self) -> Of:
@@ -66,11 +79,27 @@
             return f"run_most_ms: expected 100 to 3600000, got {self.run_most_ms}"
         if not 0 <= self.standing <= 1:
             return f"standing: shares of more than the limit: expected 0 to 1, got {self.standing}"
+        if self.by not in BY:
+            return f"by: expected one of {', '.join(BY[1:])}, got {self.by!r}"
+        if self.counts is Counts.CALLS and (self.at_once is None or self.by not in ("", "site")):
+            return "counts: calls in hand are limited by at_once, for the fleet or by site"
+        if not self.until:
+            return "until: expected the character that ends a prefix"
         if not 1 <= self.amount <= 10_000_000:
             return f"{'at_once' if self.per_s is None else 'per_s'}: less than one, or too many, a window"
         return ""
 
 
+def prefix(key: str, until: str) -> str:
+    """The part of an idempotency key that names its caller: up to the first of `until`, as a short word that is safe
+    in a key. A key without it, or none, counts under '-', all together; a long or odd one under its checksum."""
+    found, mark, _ = key.partition(until)
+    if not mark or not found:
+        return "-"
+    good = len(found) <= 24 and found.isascii() and found.isprintable() and "/" not in found and " " not in found
+    return found if good else f"#{zlib.crc32(found.encode('utf-8', 'replace')):08x}"
+
+
 class GrantTerms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Times of grants and leases, in milliseconds."""
 
--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -168,7 +168,11 @@
     """The fleet's parts, imported only here."""
     from myrtlespar.fleet import open_fleet
 
-    fleet = open_fleet(config, counters)
+    def key_of(id: str) -> str:
+        exchange = core.desk.find(id)
+        return exchange.key if exchange is not None else ""
+
+    fleet = open_fleet(config, counters, key_of)
     core.operator.more[b"MEMBERS"] = fleet.members
     if fleet.limits is not None:
         core.operator.more[b"LIMITS"] = fleet.limits.report
--- a/myrtlespar/standins/fleet/script.py
+++ b/myrtlespar/standins/fleet/script.py
@@ -194,8 +194,6 @@
             limit = msgspec.structs.replace(limit, cls=first)
         if limit.cls and limit.cls not in CLASSES:
             raise ScriptError(f"limits.{name}.class: {limit.cls!r} is none of {', '.join(CLASSES)}")
-        if limit.by not in ("", "peer", "site"):
-            raise ScriptError(f"limits.{name}.by: expected peer or site, got {limit.by!r}")
         if limit.fault():
             raise ScriptError(f"limits.{name}.{limit.fault()}")
         out[name] = limit
