Change the numbers of limits in service, with acknowledgement and without going over

A limit's number could change with a restart of all members only. limits_version and before: on SIGHUP a member takes a version that is one later, with only numbers changed and the number in force named; else it is refused whole, one line. Until a keeper knows that all have taken it and former grants have ended, members use the lesser standing share and keepers set the greater one aside, so the sum is never over the greater number. LIMITS names members that are behind.

--- a/myrtlespar/fleet/limits.py
+++ b/myrtlespar/fleet/limits.py
@@ -10,9 +10,10 @@
 
 import gevent
 import structlog
+from msgspec.structs import replace
 
 from myrtlespar.counters import Counters
-from myrtlespar.fleet.settings import FleetSettings
+from myrtlespar.fleet.settings import FleetSettings, limits_fault
 from myrtlespar.net.codec.peer import DATAGRAM_MOST, OtherVersion, Spoilt
 from myrtlespar.net.codec.quota import MAGIC, Letter, decode, encode
 from myrtlespar.net.peers import Peers
@@ -59,7 +60,8 @@
     def begin(self, boot: int) -> None:
         """The address is ours: take part."""
         names, now = self.settings.roll.names, self.now()
-        self.agent = Agent((self.settings.name, boot), self.settings.grants, self.settings.limits, names, now)
+        self.agent = Agent((self.settings.name, boot), self.settings.grants, self.settings.limits, names, now,
+                           self.settings.limits_version)
         self.places, self.calls = Places(self.agent), Places(self.agent)
         self.peers.others[MAGIC[:3]] = self._heard
         gevent.spawn(self._clock)
@@ -69,6 +71,22 @@
         if self.agent is not None:
             self.agent.retire()
 
+    def adopt(self, fresh: FleetSettings) -> str:
+        """Take a later version of the limits over, whole or not at all: why not, or empty."""
+        if fresh.limits == self.settings.limits and fresh.limits_version == self.settings.limits_version:
+            return ""
+        fault = limits_fault(self.settings, fresh)
+        if not fault and self.agent is not None and not self.agent.holder.settled:
+            fault = f"limits_version: version {self.settings.limits_version} is not yet known to be taken by all"
+        if fault:
+            self.counters.add("limits.change_refused")
+            return fault
+        self.settings = replace(self.settings, limits=fresh.limits, limits_version=fresh.limits_version)
+        if self.agent is not None:
+            self._carry(self.agent.adopt(self.now(), fresh.limits, fresh.limits_version))
+        log.info("fleet: limits taken over", version=fresh.limits_version)
+        return ""
+
     def here(self, names: frozenset[str]) -> None:
         """Whom membership believes here, oneself apart."""
         if self.agent is not None:
@@ -100,6 +118,8 @@
         for effect in effects:
             if not isinstance(effect, Tell):
                 self.counters.add(f"limits.{effect.what.replace(' ', '_')}")
+                if effect.text and self.counters.rare(f"limits.log.{effect.what}"):
+                    log.warning("fleet: " + effect.text)
                 continue
             data = encode(Letter(self.settings.fleet, name, boot, effect.message))
             if len(data) > DATAGRAM_MOST:  # guards the link's promise; keys are too long for one datagram
@@ -234,7 +254,11 @@
                  "unknown": sorted(one.book.unknown),
                  "out": {key: one.book.outstanding(now, key) for key in one.book.keys}}
                 for n, one in enumerate(agent.ranges) if one.book is not None and one.candidacy.has(now)]
-        return json.dumps({"name": self.settings.name, "keys": rows, "keeps": kept, "admitted": self.admitted,
+        return json.dumps({"name": self.settings.name, "version": agent.version, "settled": agent.holder.settled,
+                           "behind": agent.behind() if kept else None, "waiting": len(self.places.waiting)
+                           if self.places is not None else 0,
+                           "repeats_left": None if self.repeats is None else round(self.repeats.left, 1),
+                           "keys": rows, "keeps": kept, "admitted": self.admitted,
                            "refused": self.refused, "why": self._why,
                            "counts": {name: count for name, count in self.counters.report().items()
                                       if name.startswith("limits.")}}).encode() + b"\n"
--- a/myrtlespar/fleet/settings.py
+++ b/myrtlespar/fleet/settings.py
@@ -38,6 +38,7 @@
     electorate: Roll | None = None
     membership: Terms = Terms()
     limits: dict[str, Limit] = {}
+    limits_version: int = 1  # grows by one with each change of a number; `before` names the one it replaces
     grants: GrantTerms = GrantTerms()
     repeats: RepeatTerms | None = None
     datagrams_per_s: int = 2000  # more are dropped and counted, so that a flood can't take the core
@@ -130,6 +131,8 @@
     members = sum(len(row) for row in found.electorate.sites.values()) if found.electorate else 0
     if 0 < found.grants.members_most < members:
         raise ConfigError(f"grants.members_most: the roll has {members} members, got {found.grants.members_most}")
+    if not 1 <= found.limits_version < 2**40:
+        raise ConfigError(f"limits_version: expected a number from 1, got {found.limits_version}")
     for name, limit in found.limits.items():
         if not good_name(name) or "/" in name or len(name) > 32:
             raise ConfigError(f"limits.{name}: expected a name of at most 32 characters without spaces and slashes")
@@ -140,6 +143,29 @@
             raise ConfigError(f"limits.{name}.kind: {limit.kind.value} needs an electorate, as else nobody may grant")
 
 
+def limits_fault(old: FleetSettings, new: FleetSettings) -> str:
+    """Why the limits can't change so while in service: key and cause; empty if they can. Only numbers change."""
+    if new.limits_version != old.limits_version + 1:
+        return f"limits_version: {old.limits_version} is in force, expected {old.limits_version + 1}, " \
+               f"got {new.limits_version}"
+    if set(new.limits) != set(old.limits):
+        name = min(set(new.limits) ^ set(old.limits))
+        return f"limits.{name}: a limit comes or goes with a restart of all members"
+    for name, limit in new.limits.items():
+        was = old.limits[name]
+        number = was.at_once if was.per_s is None else was.per_s
+        same = msgspec.structs.replace(limit, before=was.before, per_s=was.per_s, at_once=was.at_once)
+        if same != was or (limit.per_s is None) != (was.per_s is None):
+            return f"limits.{name}: only its number changes in service, all else with a restart of all members"
+        if (limit.per_s, limit.at_once) != (was.per_s, was.at_once) and limit.before != number:
+            return f"limits.{name}.before: {number:g} is in force, got {limit.before}"
+        if limit.before is not None and limit.before != number:
+            return f"limits.{name}.before: {number:g} is in force, got {limit.before:g}"
+    if (new.grants, new.repeats) != (old.grants, old.repeats):
+        return "grants: changes with a restart"
+    return ""
+
+
 def _check_roll(found: FleetSettings, roll: Roll) -> None:
     if not 1 <= roll.version < 2**53:
         raise ConfigError(f"electorate.version: expected a number from 1, got {roll.version}")
--- a/myrtlespar/fleet/wiring.py
+++ b/myrtlespar/fleet/wiring.py
@@ -79,13 +79,19 @@
         self.peers.close()
 
     def reload(self) -> None:
-        """Take a new roll over, if it is one step from the old one; all else needs a restart. A fault changes
-        nothing."""
+        """Take a new roll over, if it is one step from the old one, and new numbers of limits; all else needs a
+        restart. A fault changes nothing."""
         try:
-            fresh = read_fleet(self.path, self.settings.name).roll
+            read = read_fleet(self.path, self.settings.name)
         except ConfigError as error:
             log.error("fleet reload refused", error=str(error))
             return
+        if self.limits is not None:
+            fault = self.limits.adopt(read)
+            if fault:
+                log.error("fleet reload refused", error=fault)
+                return
+        fresh = read.roll
         if fresh == self.roll:
             return
         fault = step_fault(self.roll, fresh)
--- a/myrtlespar/net/codec/quota.py
+++ b/myrtlespar/net/codec/quota.py
@@ -60,12 +60,13 @@
     rows: list[tuple[str, int]] = []
     if isinstance(message, Ask):
         rows = [(want.key, want.want) for want in message.wants]
+        numbers.append(message.version)
         numbers += [number for want in message.wants for number in (want.took, want.busy, want.peak)]
     elif isinstance(message, Grants):
-        numbers += [message.epoch, message.for_ms]
+        numbers += [message.epoch, message.for_ms, message.settled]
         rows = list(message.amounts)
     elif isinstance(message, Promise):
-        numbers.append(message.seen)
+        numbers += [message.seen, message.version]
         rows = list(message.holds)
     else:
         numbers.append(message.epoch)
--- a/myrtlespar/quota/agent.py
+++ b/myrtlespar/quota/agent.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+import msgspec
+
 from myrtlespar.quota.holder import ROOM, Holder, Room
 from myrtlespar.quota.keeper import Book
 from myrtlespar.quota.lease import Candidacy, Life, Voter
@@ -44,13 +46,16 @@
     """All of it for one member."""
 
     def __init__(self, me: Life, terms: GrantTerms, limits: Mapping[str, Limit], electors: frozenset[str],
-                 now: float) -> None:
+                 now: float, version: int = 1) -> None:
         self.me, self.terms, self.limits, self.electors = me, terms, dict(limits), electors
         members = terms.members_most or len(electors)
         self.holder, self.voter = Holder(terms, members, now), Voter(terms, now)
         self.ranges = [Range(Candidacy(terms, electors)) for _ in range(terms.ranges)]
         self.here: frozenset[str] = frozenset()
         self.began = now
+        self.version = version  # of the limits
+        self.versions: dict[str, int] = {me[0]: version}  # that electors told us, as far as we keep a range
+        self._all_at: float | None = None  # since when we know that all have ours, or a later one
         self._at = now
         self._no = 0
         self._out: list[Effect] = []
@@ -87,6 +92,46 @@
         """A run that a limit counts in hand is over."""
         self.holder.ended(key)
 
+    def adopt(self, now: float, limits: Mapping[str, Limit], version: int) -> list[Effect]:
+        """Go by a later version of the limits: of the same names, in the same units, with other numbers."""
+        self.limits, self.version = dict(limits), version
+        self.versions[self.me[0]], self._all_at = version, None
+        self.holder.adopt(self.limits, False)
+        for one in self.ranges:
+            for key in one.book.keys if one.book is not None else ():
+                limit = self.limit_of(key)
+                if limit is not None and one.book is not None:
+                    out, pool = one.book.outstanding(now, key), self._pool(limit)
+                    if out > pool:
+                        self._note("lowered", f"{key}: {out} may be in use, {pool} will be granted as that ends")
+        return self._done()
+
+    def behind(self) -> list[str]:
+        """Electors not known to go by our version of the limits; only a keeper hears of all."""
+        return sorted(name for name in self.electors if self.versions.get(name, 0) < self.version)
+
+    def _heard_version(self, now: float, name: str, version: int) -> None:
+        if name not in self.electors:
+            return
+        if version > self.versions.get(self.me[0], 0) and version > self.versions.get(name, 0):
+            self._note("later version", f"{name} goes by version {version} of the limits, this member by "
+                                        f"{self.version}")
+        self.versions[name] = version
+        if self.behind():
+            self._all_at = None
+        elif self._all_at is None:
+            self._all_at = now
+
+    def _settled(self, now: float) -> bool:
+        """All have our version, and whatever was granted by an earlier one has ended."""
+        longest = max((limit.linger_ms for limit in self.limits.values()), default=0)
+        return self._all_at is not None \
+            and now >= self._all_at + self.terms.waited(self.terms.grant_ms + longest)
+
+    def _pool(self, limit: Limit) -> int:
+        members = self.terms.members_most or len(self.electors)
+        return self.terms.shares(limit, members, self.holder.settled and not self.behind())[0]
+
     def retire(self) -> None:
         """A second process of our name goes on: nothing more is asked, promised or kept."""
         self.holder.retired = True
@@ -105,6 +150,8 @@
         if now < self._at or self.holder.retired:
             return self._done()
         self._at = now + self.terms.ask_ms
+        if not self.holder.settled and self._settled(now):
+            self.holder.adopt(self.limits, True)
         there = (self.here | {self.me[0]}) & self.electors
         mine = [rng for rng in range(self.terms.ranges) if keeper_of(rng, there) == self.me[0]]
         for rng, one in enumerate(self.ranges):
@@ -139,7 +186,7 @@
             keeper = keeper_of(rng, there)
             for at in range(0, len(wants), WANTS_MOST):
                 no = self.holder.asking(now, rng)
-                self._tell(now, keeper, Ask(rng, no, tuple(wants[at:at + WANTS_MOST])))
+                self._tell(now, keeper, Ask(rng, no, tuple(wants[at:at + WANTS_MOST]), self.version))
 
     def receive(self, now: float, sender: Life, message: Message) -> list[Effect]:
         """One message of another member."""
@@ -162,16 +209,17 @@
     def _promise(self, now: float, sender: Life, ask: AskLease) -> Promise:
         promise = self.voter.asked(now, sender, ask)
         if not promise.ok:
-            return promise
+            return msgspec.structs.replace(promise, version=self.version)
         ours = {key: ask.rng for key in self.holder.shares if range_of(key, self.terms.ranges) == ask.rng}
         holds = self.holder.holds(now, ours)
         longest = max((limit.linger_ms for limit in self.limits.values()), default=0)
         old = now < self.began + self.terms.waited(self.terms.grant_ms + longest)  # an earlier life may hold some
         return Promise(promise.rng, promise.no, True, promise.seen, len(holds) <= HOLDS_MOST and not old,
-                       tuple(holds[:HOLDS_MOST]))
+                       tuple(holds[:HOLDS_MOST]), self.version)
 
     def _promised(self, now: float, sender: Life, promise: Promise) -> None:
         one = self.ranges[promise.rng]
+        self._heard_version(now, sender[0], promise.version)
         if one.candidacy.answered(now, sender[0], promise):
             one.book = Book(self.terms, now, self.electors)
             self._note("keeper")
@@ -183,25 +231,27 @@
         one = self.ranges[ask.rng]
         if sender[0] in self.electors:
             one.asked_at = now
+            self._heard_version(now, sender[0], ask.version)
         if one.book is None or not one.candidacy.has(now) or sender[0] not in self.electors:
             return self._note("not keeper")
         amounts = []
-        members = self.terms.members_most or len(self.electors)
         for want in ask.wants:
             limit = self.limit_of(want.key)
             if limit is None:
                 self._note("unknown limit")
                 continue
-            amount = one.book.ask(now, sender, ask.no, want, limit, self.terms.shares(limit, members)[0])
+            amount = one.book.ask(now, sender, ask.no, want, limit, self._pool(limit))
             if amount is not None:
                 amounts.append((want.key, amount))
         if amounts:
             self._tell(now, sender[0], Grants(ask.rng, one.candidacy.epoch, ask.no, self.terms.grant_ms,
-                                              tuple(amounts)))
+                                              tuple(amounts), self.version if self._settled(now) else 0))
 
     def _granted(self, now: float, grants: Grants) -> None:
         if grants.epoch < self.voter.given[grants.rng].epoch:  # of a keeper whose successor we have told what we hold
             return self._note("fenced")
+        if grants.settled == self.version and not self.holder.settled:
+            self.holder.adopt(self.limits, True)
         if not self.holder.granted(now, grants.rng, grants.no, grants.for_ms, grants.amounts):
             self._note("late grant")
 
--- a/myrtlespar/quota/holder.py
+++ b/myrtlespar/quota/holder.py
@@ -62,6 +62,7 @@
     def __init__(self, terms: GrantTerms, members: int, now: float) -> None:
         self.terms, self.members, self.began = terms, members, now
         self.shares: dict[str, Share] = {}
+        self.settled = False  # whether all members are known to go by our version of the limits
         self.retired = False  # a second process of our name goes on: our standing share is its own now
         self._asks: dict[int, tuple[float, int]] = {}  # number: when sent, range
         self._no = 0
@@ -72,9 +73,19 @@
         if found is None:
             span = self.terms.waited(limit.window_ms)
             meter: Window | Hand = Window(span) if limit.of is Of.RATE else Hand()
-            found = self.shares[key] = Share(limit, self.terms.shares(limit, self.members)[1], meter, Window(span))
+            found = self.shares[key] = Share(limit, self._standing(limit), meter, Window(span))
         return found
 
+    def _standing(self, limit: Limit) -> int:
+        return self.terms.shares(limit, self.members, self.settled)[1]
+
+    def adopt(self, limits: Mapping[str, Limit], settled: bool) -> None:
+        """Go by these limits from now on; what is in use stays counted."""
+        self.settled = settled
+        for key, share in self.shares.items():
+            share.limit = limits[key.partition("/")[0]]
+            share.standing = self._standing(share.limit)
+
     def allowance(self, now: float, share: Share) -> int:
         """What may be in use now. A new life uses no standing share before an earlier one's use has faded."""
         quiet = self.retired or now < self.began + self.terms.silent_ms(share.limit)
--- a/myrtlespar/quota/messages.py
+++ b/myrtlespar/quota/messages.py
@@ -19,22 +19,25 @@
 
 
 class Ask(msgspec.Struct, array_like=True, frozen=True, gc=False, tag=1):
-    """A holder asks the keeper of a range. `no` grows with each ask of one life."""
+    """A holder asks the keeper of a range. `no` grows with each ask of one life; `version` is that of the limits it
+    goes by."""
 
     rng: int
     no: int
     wants: tuple[Want, ...]
+    version: int = 1
 
 
 class Grants(msgspec.Struct, array_like=True, frozen=True, gc=False, tag=2):
     """The keeper's answer to ask `no`: amounts that hold for `for_ms` from the sending of that ask, in place of all
-    that this holder had before."""
+    that this holder had before. `settled` is the keeper's version of the limits once all members took it, or 0."""
 
     rng: int
     epoch: int
     no: int
     for_ms: int
     amounts: tuple[tuple[str, int], ...]
+    settled: int = 0
 
 
 class AskLease(msgspec.Struct, array_like=True, frozen=True, gc=False, tag=3):
@@ -57,6 +60,7 @@
     seen: int
     whole: bool = True
     holds: tuple[tuple[str, int], ...] = ()
+    version: int = 1
 
 
 Message = Ask | Grants | AskLease | Promise
--- a/myrtlespar/quota/terms.py
+++ b/myrtlespar/quota/terms.py
@@ -43,6 +43,7 @@
 
     per_s: float | None = None
     at_once: int | None = None
+    before: float | None = None  # the number of the version before, by which some members may still go
     kind: Kind = Kind.STRICT
     cls: str = msgspec.field(name="class", default="")  # a class of requests; empty: all
     counts: Counts = Counts.RUNS
@@ -60,9 +61,16 @@
     @property
     def amount(self) -> int:
         """Whole starts a window, or runs at once."""
-        if self.at_once is not None:
-            return self.at_once
-        return math.floor((self.per_s or 0.0) * self.window_ms / 1000 + 1e-9)
+        return self._whole(self.per_s if self.at_once is None else self.at_once)
+
+    @property
+    def amount_before(self) -> int:
+        """The same of the version before; the present one where none is told."""
+        return self.amount if self.before is None else self._whole(self.before)
+
+    def _whole(self, number: float | None) -> int:
+        part = self.window_ms / 1000 if self.at_once is None else 1.0
+        return math.floor((number or 0.0) * part + 1e-9)
 
     @property
     def linger_ms(self) -> int:
@@ -87,6 +95,8 @@
             return "until: expected the character that ends a prefix"
         if not 1 <= self.amount <= 10_000_000:
             return f"{'at_once' if self.per_s is None else 'per_s'}: less than one, or too many, a window"
+        if self.before is not None and not 1 <= self.amount_before <= 10_000_000:
+            return f"before: less than one, or too many, a window: {self.before:g}"
         return ""
 
 
@@ -165,7 +175,25 @@
         """How long a new process uses no standing share, as the one before it may have."""
         return self.waited(limit.linger_ms)
 
-    def shares(self, limit: Limit, members: int) -> tuple[int, int]:
-        """(the pool that is granted, each member's standing share); together never more than the limit."""
-        each = math.floor(limit.amount * limit.standing / members) if members else 0
-        return limit.amount - each * members, each
+    def lowered_ms(self, limit: Limit) -> float:
+        """From the moment that a keeper takes a lower number until no more than that is in use, the standing shares
+        of members that have not taken it counted in: what is granted, and its use, have to end."""
+        return self.waited(self.grant_ms + limit.linger_ms) + self.ask_ms
+
+    def settled_ms(self, linger_ms: float) -> float:
+        """From the last member's taking of a version until all go by it alone."""
+        return self.waited(self.grant_ms + linger_ms) + 2 * self.renew_ms
+
+    def shares(self, limit: Limit, members: int, settled: bool = True) -> tuple[int, int]:
+        """(the pool that is granted, each member's standing share); together never more than the limit.
+
+        Until all are known to have taken a version (`settled`), a member's share is the lesser one of this version
+        and the one before, and the keeper sets the greater one aside for each: so nobody's version matters, and the
+        sum is never over the greater number, and soon not over the new one."""
+        if not members:
+            return limit.amount, 0
+        each = math.floor(limit.amount * limit.standing / members)
+        if settled or limit.before is None:
+            return limit.amount - each * members, each
+        former = math.floor(limit.amount_before * limit.standing / members)
+        return max(0, limit.amount - max(each, former) * members), min(each, former)
