--- a/myrtlespar/check/quota/explore.py
+++ b/myrtlespar/check/quota/explore.py
@@ -31,6 +31,8 @@
 SETTINGS = {
     "true": Setting(), "drift": Setting(rates=(SLOW, FAST, 1.0)), "drift back": Setting(rates=(FAST, SLOW, SLOW)),
     "loose": Setting(LOOSE), "hand": Setting(HAND), "hand drift": Setting(HAND, (SLOW, FAST, 1.0)),
+    "engine": Setting(RATE, (SLOW, FAST, 1.0), engine=True),
+    "engine hand": Setting(HAND, (FAST, SLOW, 1.0), engine=True),
     "lowered": Setting(WAS[LESS.amount], (SLOW, FAST, 1.0), later=LESS),
     "raised": Setting(WAS[MORE.amount], (SLOW, FAST, 1.0), later=MORE),
 }
@@ -68,6 +70,8 @@
     Plan("voters", 2, first=5, every=7, settings=("drift",), kinds=frozenset(("crash",)), firsts=frozenset(("shun",))),
     Plan("changes", 2, first=7, every=9, settings=("lowered", "raised"), span_ms=1000.0,
          kinds=frozenset(("crash", "part", "believe", "sleep")), firsts=frozenset(("change",))),
+    Plan("engine", 2, first=7, every=13, settings=("engine", "engine hand"),
+         kinds=frozenset(("crash", "stop", "believe", "away"))),
     Plan("triples", 3, first=37, every=61, settings=("drift back",)),
 )}
 
--- a/myrtlespar/check/quota/plants.py
+++ b/myrtlespar/check/quota/plants.py
@@ -20,7 +20,8 @@
            "shifts"),
     _plant("a new keeper does not wait", "keeper", "and self.unknown and now < self.known_at(limit):", "and False:",
            "keepers"),
-    _plant("what is held is not told", "agent", "tuple(holds[:HOLDS_MOST]), self.version)", "(), self.version)", "keepers"),
+    _plant("what is held is not told", "agent", "tuple(holds[:HOLDS_MOST]), self.version)", "(), self.version)",
+           "keepers"),
     _plant("a new life tells that it holds nothing", "agent", "len(holds) <= HOLDS_MOST and not old,",
            "len(holds) <= HOLDS_MOST,", "lives"),
     _plant("what was held before is not told", "holder",
@@ -47,6 +48,16 @@
            "* members), max(each, former)", "changes"),
     _plant("the lesser share is set aside in a change", "terms", "limit.amount - max(each, former) * members)",
            "limit.amount - min(each, former) * members)", "changes"),
+    _plant("a seat counts from its answer", "session", "request.sent + self.terms.used(self.terms.used(reply.ttl_ms))",
+           "now + self.terms.used(self.terms.used(reply.ttl_ms))", "engine"),
+    _plant("the engine's clock is taken for true", "session", "self.terms.used(self.terms.used(reply.ttl_ms))",
+           "1.05 * reply.ttl_ms", "engine"),
+    _plant("what is given up is kept until the engine knows", "session", "            del self.held[rng]\n",
+           "            pass\n", "engine"),
+    _plant("a new seat grants at once", "agent", "one.book = Book(self.terms, now, self.electors)\n"
+           "                self._note(\"keeper\")\n                self._stand",
+           "one.book = Book(self.terms, now, frozenset())\n"
+           "                self._note(\"keeper\")\n                self._stand", "engine"),
     _plant("the window is short", "use", "self.span_ms, self._step = span_ms, span_ms / SLOTS",
            "self.span_ms, self._step = 0.9 * span_ms, span_ms / SLOTS"),
 )}
--- a/myrtlespar/check/quota/world.py
+++ b/myrtlespar/check/quota/world.py
@@ -14,6 +14,7 @@
 
 from myrtlespar.quota.agent import Agent
 from myrtlespar.quota.messages import Note, Tell
+from myrtlespar.quota.session import Do, Reply, Request
 from myrtlespar.quota.terms import GrantTerms, Kind, Limit
 
 NAMES = ("a", "b", "c")
@@ -25,6 +26,7 @@
 # A tenth less or more, at the place where a whole part moves from all standing shares to the pool
 LESS, MORE = (Limit(per_s=now * 5.0, before=was * 5.0, window_ms=200, standing=0.5) for now, was in ((5, 6), (6, 5)))
 WAS = {limit.amount: Limit(per_s=limit.before, window_ms=200, standing=0.5) for limit in (LESS, MORE)}
+TTL_MS, LOST_MS = 240.0, 45.0  # of the engine's leases; after which an answer is taken for lost
 FLOOD_MS = 11.0  # between the tries of a member
 Fault = tuple[Any, ...]
 Row = tuple[float, int, str, str, Any, Any]
@@ -37,6 +39,7 @@
     limit: Limit = RATE
     rates: tuple[float, float, float] = (1.0, 1.0, 1.0)  # of the members' clocks
     terms: GrantTerms = TERMS
+    engine: bool = False  # an engine says who keeps what
     later: Limit | None = None  # version 2 of the limit, for plans that change it
 
     @property
@@ -45,6 +48,37 @@
         return max(self.limit.amount, self.later.amount if self.later else 0) + self.terms.over(self.limit)
 
 
+@dataclass(slots=True)
+class Engine:
+    """The engine: leases, keys under them, revisions. Its clock is as fast as any may be."""
+
+    leases: dict[int, float] = field(default_factory=dict)  # until when
+    keys: dict[int, tuple[int, int]] = field(default_factory=dict)  # range: lease, epoch
+    revision: int = 1
+
+    def carry(self, now: float, request: Request) -> Reply:
+        """One request to its answer."""
+        for lease in [lease for lease, until in self.leases.items() if until <= now]:
+            del self.leases[lease]
+            self.keys = {rng: row for rng, row in self.keys.items() if row[0] != lease}
+        ends = now + TTL_MS / (1 + TERMS.drift)
+        self.revision += 1
+        if request.do is Do.GRANT:
+            self.leases[self.revision] = ends
+            return Reply(lease=self.revision, ttl_ms=TTL_MS)
+        if request.lease not in self.leases:
+            return Reply()
+        row = self.keys.get(request.rng)
+        if request.do is Do.KEEP:
+            self.leases[request.lease] = ends
+            return Reply(ttl_ms=TTL_MS)
+        if request.do is Do.TAKE and row is None:
+            row = self.keys[request.rng] = request.lease, self.revision
+        elif request.do is Do.DROP and row is not None and row[0] == request.lease:
+            del self.keys[request.rng]
+        return Reply(epoch=row[1] if row is not None and row[0] == request.lease else 0)
+
+
 @dataclass(slots=True)
 class World:
     """All there is. `queue` holds (time, number, kind, receiver, what, sender)."""
@@ -66,6 +100,8 @@
     hand: int = 0
     most: int = 0  # in use at a time, the greatest
     used: dict[str, int] = field(default_factory=dict)  # starts by member
+    engine: Engine = field(default_factory=lambda: Engine())
+    asking: dict[str, int] = field(default_factory=dict)  # members with a request at the engine: their life
     adopted: set[str] = field(default_factory=set)  # members whose file has the later version
     began: list[float] = field(default_factory=list)  # when leases began
     steps: int = 0
@@ -108,9 +144,43 @@
             self.kept.setdefault(name, []).append(row)
             return
         self.carry(name, agent.tick(self.clock(name)))
+        self.ask_engine(name, life)
         rate = self.setting.rates[NAMES.index(name)]
         self.put(max(1.0, (agent.next_at() - self.clock(name)) / rate), "tick", name, life)
 
+    def ask_engine(self, name: str, life: int) -> None:
+        """A member's driver sends what is due, one request at a time."""
+        agent = self.members[name]
+        if agent is None or agent.session is None or name in self.asking:
+            return
+        request = agent.session.next(self.clock(name), frozenset(agent.seeks))
+        self.carry(name, agent.seated(self.clock(name)))
+        if request is not None:
+            self.asking[name] = life
+            self.put(HOP_MS, "request", name, life, request)
+
+    def do_request(self, row: Row) -> None:
+        """A request reaches the engine, or does not."""
+        _, _, _, name, life, request = row
+        reply = None if (name, "engine") in self.cuts else self.engine.carry(self.now, request)
+        lost = reply is None or ("engine", name) in self.cuts
+        self.put(LOST_MS if lost else HOP_MS, "reply", name, life, (request, None if lost else reply))
+
+    def do_reply(self, row: Row) -> None:
+        """The answer reaches the member's process, if that is still there."""
+        _, _, _, name, life, (request, reply) = row
+        agent = self.members[name]
+        if agent is None or self.lives[name] != life or agent.session is None:
+            return
+        if name in self.stopped:
+            self.kept.setdefault(name, []).append(row)
+            return
+        self.asking.pop(name, None)
+        agent.session.answered(self.clock(name), request, reply)
+        self.carry(name, agent.seated(self.clock(name)))
+        if reply is not None:
+            self.ask_engine(name, life)
+
     def do_want(self, row: Row) -> None:
         """A request of a member's callers."""
         _, _, _, name, life, _ = row
@@ -179,7 +249,8 @@
         life = self.lives[name] = self.lives.get(name, 0) + 1
         limit = self.setting.later if name in self.adopted and self.setting.later else self.setting.limit
         agent = self.members[name] = Agent((name, life), self.setting.terms, {"x": limit}, frozenset(NAMES),
-                                           self.clock(name), 1 + (name in self.adopted))
+                                           self.clock(name), 1 + (name in self.adopted), self.setting.engine)
+        self.asking.pop(name, None)
         agent.here = self.belief.get(name, frozenset(NAMES))
         self.put(0.0, "tick", name, life)
         self.put(NAMES.index(name) * 3.0, "want", name, life)
@@ -254,6 +325,10 @@
             self.set_belief(fault[1], frozenset(NAMES) - {fault[2]})
             self.put(fault[3], "heal", "", ((fault[1], fault[2]), (fault[2], fault[1])))
             self.put(fault[3], "believe", fault[1])
+        elif kind == "away":  # cut off from the engine: both ways, or its answers are lost
+            pairs = {(fault[1], "engine"), ("engine", fault[1])} if fault[3] else {("engine", fault[1])}
+            self.cuts |= pairs
+            self.put(fault[2], "heal", "", tuple(pairs))
         elif kind == "cut":
             self.cuts |= set(fault[1])
             self.put(fault[2], "heal", "", fault[1])
@@ -324,6 +399,8 @@
         out += [("quiet", name, 600.0) for name in up]
     if "part" in kinds:
         out += [("part", cuts()[3 * n], name, ms) for n, name in enumerate(NAMES) for ms in (400.0, 1000.0)]
+    if "away" in kinds:
+        out += [("away", name, ms, both) for name in up for ms in (150.0, 400.0) for both in (True, False)]
     if "change" in kinds:
         out += [("change", names, ms) for names in permutations(NAMES) for ms in (10.0, 330.0)]
     if "believe" in kinds:
--- /dev/null
+++ b/myrtlespar/fleet/engine.py
@@ -0,0 +1,58 @@
+"""Drives an agent's session at the engine: one request at a time, whatever is due first."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+import structlog
+from gevent.event import Event
+
+from myrtlespar.counters import Counters
+from myrtlespar.fleet.settings import EngineSettings
+from myrtlespar.net.etcd import Etcd
+from myrtlespar.quota.agent import Agent, Effect
+
+log = structlog.get_logger()
+
+
+class Engine:
+    """One greenlet. `now` is the clock that limits go by, `carry` what the agent's effects are handed to."""
+
+    def __init__(self, settings: EngineSettings, fleet: str, agent: Agent, now: Callable[[], float],
+                 carry: Callable[[list[Effect]], None], counters: Counters) -> None:
+        assert agent.session is not None
+        self.settings, self.agent, self.session = settings, agent, agent.session
+        self.now, self.carry, self.counters = now, carry, counters
+        self.etcd = Etcd(settings.address, f"/myrtlespar/{fleet}/ranges/", agent.me[0], settings.ttl_s,
+                         settings.timeout_ms / 1000.0, self._freed, self._failed)
+        self.answered_at = float("-inf")
+        self._due = Event()
+
+    def run(self) -> None:
+        """Until the agent retires; then what is held is given back."""
+        self.etcd.watch()
+        while not self.agent.holder.retired:
+            request = self.session.next(self.now(), frozenset(self.agent.seeks))
+            if request is None:
+                self._due.wait(self.agent.terms.ask_ms / 2000.0)
+                self._due.clear()
+            else:
+                reply = self.etcd.carry(request)
+                self.counters.add(f"engine.{request.do.value}" if reply else "engine.unanswered")
+                self.session.answered(self.now(), request, reply)
+                if reply is None:
+                    gevent.sleep(self.agent.terms.ask_ms / 2000.0)
+                else:
+                    self.answered_at = self.now()
+            self.carry(self.agent.seated(self.now()))
+        if self.session.lease:
+            self.etcd.revoke(self.session.lease)
+        self.etcd.close()
+
+    def _freed(self, rng: int) -> None:
+        self.session.freed(rng)
+        self._due.set()
+
+    def _failed(self, code: str) -> None:
+        self.counters.add(f"engine.failed.{code}")
--- a/myrtlespar/fleet/limits.py
+++ b/myrtlespar/fleet/limits.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 import structlog
@@ -25,6 +25,9 @@
 from myrtlespar.quota.repeats import Repeats
 from myrtlespar.quota.terms import Counts, Limit, prefix
 
+if TYPE_CHECKING:
+    from myrtlespar.fleet.engine import Engine
+
 log = structlog.get_logger()
 
 
@@ -45,6 +48,7 @@
         self._key_of: Callable[[str], str] = key_of
         self.repeats = Repeats(settings.repeats) if settings.repeats is not None else None
         self._no_call: set[str] = set()  # runs whose call found no room yet
+        self.engine: Engine | None = None
         self.places: Places | None = None
         self.calls: Places | None = None
         self._asked: tuple[str, list[str], str, Room] = "", [], "", ROOM  # the last that found no room
@@ -61,10 +65,16 @@
         """The address is ours: take part."""
         names, now = self.settings.roll.names, self.now()
         self.agent = Agent((self.settings.name, boot), self.settings.grants, self.settings.limits, names, now,
-                           self.settings.limits_version)
+                           self.settings.limits_version, self.settings.engine is not None)
         self.places, self.calls = Places(self.agent), Places(self.agent)
         self.peers.others[MAGIC[:3]] = self._heard
         gevent.spawn(self._clock)
+        if self.settings.engine is not None:  # loaded only where one is set
+            from myrtlespar.fleet.engine import Engine
+
+            self.engine = Engine(self.settings.engine, self.settings.fleet, self.agent, self.now, self._carry,
+                                 self.counters)
+            gevent.spawn(self.engine.run)
 
     def retire(self) -> None:
         """A second process of our name goes on, or none."""
@@ -255,6 +265,8 @@
                  "out": {key: one.book.outstanding(now, key) for key in one.book.keys}}
                 for n, one in enumerate(agent.ranges) if one.book is not None and one.candidacy.has(now)]
         return json.dumps({"name": self.settings.name, "version": agent.version, "settled": agent.holder.settled,
+                           "engine_ms": None if self.engine is None else round(now - self.engine.answered_at)
+                           if self.engine.answered_at > 0 else "never",
                            "behind": agent.behind() if kept else None, "waiting": len(self.places.waiting)
                            if self.places is not None else 0,
                            "repeats_left": None if self.repeats is None else round(self.repeats.left, 1),
--- a/myrtlespar/fleet/settings.py
+++ b/myrtlespar/fleet/settings.py
@@ -26,6 +26,14 @@
     sites: dict[str, list[str]]
 
 
+class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An engine that says who keeps what: its etcd v3 API. Its leases are whole seconds."""
+
+    address: str
+    ttl_s: int = 2
+    timeout_ms: int = 500
+
+
 class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file. `bind` is where this process listens (UDP and TCP), `advertise` where others reach it."""
 
@@ -41,6 +49,7 @@
     limits_version: int = 1  # grows by one with each change of a number; `before` names the one it replaces
     grants: GrantTerms = GrantTerms()
     repeats: RepeatTerms | None = None
+    engine: EngineSettings | None = None  # in place of majority leases
     datagrams_per_s: int = 2000  # more are dropped and counted, so that a flood can't take the core
     clock_rate: float = 1.0  # rehearsals of a clock that runs fast or slow: what limits go by
     wall_shift_ms: int = 0  # rehearsals of a wrong clock: added to the wall clock, which matters for lives only
@@ -126,6 +135,13 @@
     fault = found.grants.fault()
     if fault:
         raise ConfigError(f"grants.{fault}")
+    if found.engine is not None:
+        if not good_address(found.engine.address):
+            raise ConfigError(f"engine.address: expected A.B.C.D:PORT, got {found.engine.address!r}")
+        if not 1 <= found.engine.ttl_s <= 600:
+            raise ConfigError(f"engine.ttl_s: expected 1 to 600, got {found.engine.ttl_s}")
+        if not 10 <= found.engine.timeout_ms <= 250 * found.engine.ttl_s:
+            raise ConfigError(f"engine.timeout_ms: expected 10 to a quarter of ttl_s, got {found.engine.timeout_ms}")
     if found.repeats is not None and found.repeats.fault():
         raise ConfigError(f"repeats.{found.repeats.fault()}")
     members = sum(len(row) for row in found.electorate.sites.values()) if found.electorate else 0
--- a/myrtlespar/fleet/wiring.py
+++ b/myrtlespar/fleet/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
 import time
 from collections.abc import Callable, Sequence
@@ -35,6 +36,8 @@
         self.peers = Peers(settings.bind, settings.fleet, settings.name, settings.datagrams_per_s, counters,
                            self._make, self._changed)
         self.limits: Limits | None = None
+        if settings.engine is not None and importlib.util.find_spec("grpc") is None:
+            raise ConfigError("engine: needs the libraries of requirements-engine.txt")
         if settings.limits or settings.repeats is not None:  # loaded only where some are set
             from myrtlespar.fleet.limits import Limits
 
--- a/myrtlespar/quota/agent.py
+++ b/myrtlespar/quota/agent.py
@@ -15,6 +15,7 @@
 from myrtlespar.quota.keeper import Book
 from myrtlespar.quota.lease import Candidacy, Life, Voter
 from myrtlespar.quota.messages import Ask, AskLease, Grants, Message, Note, Promise, Tell, Want
+from myrtlespar.quota.session import Session
 from myrtlespar.quota.terms import GrantTerms, Limit
 
 WANTS_MOST = 11  # of one ask, so that it fits a datagram
@@ -46,12 +47,14 @@
     """All of it for one member."""
 
     def __init__(self, me: Life, terms: GrantTerms, limits: Mapping[str, Limit], electors: frozenset[str],
-                 now: float, version: int = 1) -> None:
+                 now: float, version: int = 1, engine: bool = False) -> None:
         self.me, self.terms, self.limits, self.electors = me, terms, dict(limits), electors
         members = terms.members_most or len(electors)
-        self.holder, self.voter = Holder(terms, members, now), Voter(terms, now)
+        self.holder, self.voter = Holder(terms, members, now), Voter(terms, now, engine)
+        self.session = Session(terms) if engine else None  # who keeps what is then the engine's to say
         self.ranges = [Range(Candidacy(terms, electors)) for _ in range(terms.ranges)]
         self.here: frozenset[str] = frozenset()
+        self.seeks: set[int] = set()  # ranges that we would keep, if the engine lets us
         self.began = now
         self.version = version  # of the limits
         self.versions: dict[str, int] = {me[0]: version}  # that electors told us, as far as we keep a range
@@ -135,6 +138,7 @@
     def retire(self) -> None:
         """A second process of our name goes on: nothing more is asked, promised or kept."""
         self.holder.retired = True
+        self.seeks.clear()
         for one in self.ranges:
             one.candidacy.give_up()
             one.book = None
@@ -158,6 +162,11 @@
             wanted = now - one.asked_at < self.terms.cold_ms
             if rng not in mine or self.me[0] not in self.electors or not wanted:
                 one.candidacy.give_up()
+                self.seeks.discard(rng)
+            elif self.session is not None:
+                self.seeks.add(rng)
+                if one.candidacy.has(now) and now - one.stood_at >= self.terms.renew_ms:
+                    self._stand(now, rng, one)
             elif not one.candidacy.has(now) or now - one.stood_at >= self.terms.renew_ms:
                 self._stand(now, rng, one)
             if one.book is not None:
@@ -169,10 +178,25 @@
             self._ask(now, there)
         return self._done()
 
+    def seated(self, now: float) -> list[Effect]:
+        """The engine's session has changed: begin as keeper of what came, end with what went."""
+        for rng, one in enumerate(self.ranges):
+            if self.session is not None and one.candidacy.seated(now, self.session.epoch(now, rng),
+                                                                 self.session.until):
+                one.book = Book(self.terms, now, self.electors)
+                self._note("keeper")
+                self._stand(now, rng, one)
+            elif not one.candidacy.has(now):
+                one.book = None
+        return self._done()
+
     def _stand(self, now: float, rng: int, one: Range) -> None:
         self._no += 1
         one.stood_at = now
-        ask = one.candidacy.stand(now, self._no)
+        if self.session is not None:
+            ask = AskLease(rng, one.candidacy.epoch, self._no)
+        else:
+            ask = one.candidacy.stand(now, self._no)
         if not one.candidacy.has(now):
             one.book = None
         for name in sorted(self.electors):
@@ -220,7 +244,7 @@
     def _promised(self, now: float, sender: Life, promise: Promise) -> None:
         one = self.ranges[promise.rng]
         self._heard_version(now, sender[0], promise.version)
-        if one.candidacy.answered(now, sender[0], promise):
+        if self.session is None and one.candidacy.answered(now, sender[0], promise):
             one.book = Book(self.terms, now, self.electors)
             self._note("keeper")
         if one.book is not None and promise.ok and promise.seen == one.candidacy.epoch:
--- a/myrtlespar/quota/lease.py
+++ b/myrtlespar/quota/lease.py
@@ -26,15 +26,16 @@
 class Voter:
     """One elector's promises, for all ranges."""
 
-    def __init__(self, terms: GrantTerms, now: float) -> None:
-        self.terms = terms
-        self.silent_until = now + terms.waited(terms.lease_ms)
+    def __init__(self, terms: GrantTerms, now: float, engine: bool = False) -> None:
+        """With an `engine`, that decides who keeps a range, and epochs tell who is the later one."""
+        self.terms, self.engine = terms, engine
+        self.silent_until = now if engine else now + terms.waited(terms.lease_ms)
         self.given = [Given() for _ in range(terms.ranges)]
 
     def asked(self, now: float, by: Life, ask: AskLease) -> Promise:
         """Promise, or say what stands against it. What is held is filled in by the caller."""
         given = self.given[ask.rng]
-        same = given.to == by and ask.epoch >= given.epoch
+        same = (given.to == by or self.engine) and ask.epoch >= given.epoch
         if now < self.silent_until or not (same or (now >= given.until and ask.epoch > given.epoch)):
             return Promise(ask.rng, ask.no, False, given.epoch)
         given.to, given.epoch, given.until = by, ask.epoch, now + self.terms.waited(self.terms.lease_ms)
@@ -103,3 +104,12 @@
     def give_up(self) -> None:
         """Another is to be keeper: the lease is not renewed."""
         self.asked.clear()
+
+    def seated(self, now: float, epoch: int, until: float) -> bool:
+        """What the engine says: our epoch and until when, 0 if we do not keep the range. True: with it a lease
+        began."""
+        began = bool(epoch) and epoch != self.epoch
+        if began:
+            self.since = now
+        self.epoch, self.until = (epoch, until) if epoch else (self.epoch, 0.0)
+        return began
--- a/myrtlespar/standins/fabric/faults.py
+++ b/myrtlespar/standins/fabric/faults.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
-SERVICES = ("store", "roster", "kernel")  # what members talk to beside one another
+SERVICES = ("store", "roster", "kernel", "engine")  # what members talk to beside one another
 FIRM_DROP, FIRM_MS = 0.2, 200.0  # a link that loses or delays more promises nothing either way
 GOOD_DROP, GOOD_MS = 0.1, 130.0  # up to these, members hardly suspect one another
 
--- a/myrtlespar/standins/fleet/script.py
+++ b/myrtlespar/standins/fleet/script.py
@@ -61,6 +61,7 @@
     load: Load
     judge: tuple[str, ...]
     limits: Mapping[str, Limit] = field(default_factory=dict)
+    engine: bool = False
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -129,12 +130,15 @@
         steps += _event(n, event, sites, length_ms)
     steps.sort(key=lambda step: step.at_ms)
     _running(steps, sites)
-    return Script(sites, length_ms, tuple(steps), _load(rows.rows.get("load")), _judge(rows.rows.get("judge")), limits)
+    engine = _Rows(rows.rows["fleet"], "fleet", ("sites", "engine")).flag("engine")
+    for step in steps:
+        if not engine and step.rule is not None and "engine" in step.rule.first | step.rule.second:
+            raise ScriptError(f"events[{step.number}]: engine: this fleet has none (fleet.engine)")
+    return Script(sites, length_ms, tuple(steps), _load(rows.rows.get("load")), _judge(rows.rows.get("judge")), limits,
+                  engine)
 
 
 def _sites(fleet: _Rows, members: int) -> Mapping[str, tuple[str, ...]]:
-    if fleet.flag("engine"):
-        raise ScriptError("fleet.engine: this build knows no engine")
     rows = fleet.rows.get("sites")
     if not isinstance(rows, dict) or not rows:
         raise ScriptError(f"fleet.sites: expected a table of sites, got {rows!r}"[:160])
--- a/myrtlespar/standins/fleet/starter.py
+++ b/myrtlespar/standins/fleet/starter.py
@@ -67,6 +67,21 @@
         self.process.wait(WAIT_S)
 
 
+class Engine:
+    """The engine's stand-in, a process of its own."""
+
+    def __init__(self) -> None:
+        self.process = subprocess.Popen([sys.executable, "-m", "myrtlespar.standins.etcd"], cwd=ROOT,
+                                        stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        assert self.process.stdout is not None
+        self.port = int(json.loads(self.process.stdout.readline())["port"])
+
+    def close(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait(WAIT_S)
+
+
 class Member:
     """One member over all its processes."""
 
@@ -113,7 +128,9 @@
         self.faults: list[str] = []  # what could not be played as the script says
         self.replaced = 0
         self._lost: dict[int, list[str]] = {}
-        self.fabric = Fabric(script.members, seed, {"store": self.store.port, "roster": self.roster.port})
+        self.engine = Engine() if script.engine else None
+        services = {"store": self.store.port, "roster": self.roster.port}
+        self.fabric = Fabric(script.members, seed, services | ({"engine": self.engine.port} if self.engine else {}))
         self.port = self.fabric.port
         for member in self.members.values():
             self.fabric.ask(target=["kernel", member.name, member.kernel.port])
@@ -142,6 +159,7 @@
                  "seeds": [f"{relay_host(self.members[seed].n)}:{port}" for seed in seeds],
                  "electorate": {"version": 1, "sites": {site: list(row) for site, row in self.script.sites.items()}},
                  "limits": {name: msgspec.to_builtins(limit) for name, limit in self.script.limits.items()},
+                 **({"engine": {"address": f"{service_host(n, 'engine')}:{port}"}} if self.engine else {}),
                  "grants": self.grants, "membership": self.membership, **self.own.get(member.name, {})}
         (member.folder / "fleet.yaml").write_text(yaml.safe_dump(fleet))
 
@@ -322,5 +340,7 @@
             for kernel in member.kernels:
                 kernel.down()
         self.fabric.close()
+        if self.engine is not None:
+            self.engine.close()
         self.store.down()
         self.roster.down()
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,138 @@
+"""The engine as a source of leases: the session, the client against the stand-in, real members behind the fabric."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from random import Random
+
+import gevent
+import pytest
+
+from myrtlespar.net.etcd import Etcd
+from myrtlespar.quota.session import Do, Reply, Request, Session
+from myrtlespar.quota.terms import GrantTerms
+from myrtlespar.standins import ROOT
+from myrtlespar.standins.base import until
+from myrtlespar.standins.etcd import State, serve
+from myrtlespar.standins.fleet.play import play
+from myrtlespar.standins.fleet.script import ScriptError, parse, read
+
+TERMS = GrantTerms()
+
+
+@pytest.fixture
+def engine() -> Iterator[tuple[State, str]]:
+    state = State()
+    server, port = serve(state)
+    yield state, f"127.0.0.1:{port}"
+    server.stop(0)
+
+
+def client(address: str, name: str, freed: list[int] | None = None) -> Etcd:
+    return Etcd(address, "/t/", name, 2, 1.0, (freed if freed is not None else []).append, lambda code: None)
+
+
+def asked(one: Etcd, do: Do, lease: int = 0, rng: int = 0) -> Reply:
+    reply = one.carry(Request(do, 0.0, lease, rng))
+    assert reply is not None
+    return reply
+
+
+def test_one_lease_at_a_time_has_a_range_and_each_has_a_greater_epoch(engine: tuple[State, str]) -> None:
+    state, address = engine
+    freed: list[int] = []
+    a, b = client(address, "a"), client(address, "b", freed)
+    b.watch()
+    until(lambda: state.watchers, "watch")
+    first, second = asked(a, Do.GRANT).lease, asked(b, Do.GRANT).lease
+    mine = asked(a, Do.TAKE, first, 3).epoch
+    assert mine > 0 and asked(b, Do.TAKE, second, 3).epoch == 0
+    assert asked(a, Do.TAKE, first, 3).epoch == mine  # as after an answer that was lost
+    asked(b, Do.DROP, second, 3)  # not its own: changes nothing
+    assert asked(b, Do.TAKE, second, 3).epoch == 0 and asked(a, Do.KEEP, first).ttl_ms == 2000
+    asked(a, Do.DROP, first, 3)
+    assert asked(b, Do.TAKE, second, 3).epoch > mine
+    assert asked(a, Do.TAKE, first, 4).epoch > 0
+    a.revoke(first)
+    until(lambda: _turn() or {3, 4} <= {*freed}, "news of deletions")
+    assert asked(b, Do.TAKE, second, 4).epoch > 0 and asked(a, Do.KEEP, first).ttl_ms == 0
+    assert asked(a, Do.TAKE, first, 5) == Reply()
+    a.close(), b.close()
+
+
+def _turn() -> None:
+    gevent.sleep(0.01)  # the news comes in the loop
+
+
+def test_a_lease_that_is_not_renewed_ends_with_all_its_keys(engine: tuple[State, str]) -> None:
+    state, address = engine
+    a, b = client(address, "a"), client(address, "b")
+    lease = asked(a, Do.GRANT).lease
+    assert asked(a, Do.TAKE, lease, 1).epoch
+    other = asked(b, Do.GRANT).lease
+    end = time.monotonic() + 20
+    while not asked(b, Do.TAKE, other, 1).epoch and time.monotonic() < end:
+        asked(b, Do.KEEP, other)
+        time.sleep(0.1)
+    assert state.keys[b"/t/1"].value == b"b" and lease not in state.leases
+    a.close(), b.close()
+
+
+def test_an_engine_that_is_away_is_no_answer() -> None:
+    one = Etcd("127.0.0.1:1", "/t/", "a", 2, 0.2, lambda rng: None, lambda code: None)
+    assert one.carry(Request(Do.GRANT, 0.0)) is None
+    one.close()
+
+
+def test_a_session_never_holds_past_what_the_engine_grants() -> None:
+    """Random answers, losses and delays: an epoch is told only within the last lease that the engine gave, counted
+    from before its request was sent, and never for a range that was given up."""
+    for seed in range(60):
+        dice, one, now, ends = Random(seed), Session(TERMS), 0.0, 0.0
+        lease, keys, wanted = 0, set[int](), frozenset[int]()
+        for _ in range(300):
+            now += dice.expovariate(1 / 60)
+            if dice.random() < 0.2:
+                wanted = frozenset(rng for rng in range(4) if dice.random() < 0.6)
+            request = one.next(now, wanted)
+            assert not {rng for rng in range(4) if one.epoch(now, rng)} - wanted
+            if request is None:
+                continue
+            now += dice.choice((1.0, 5.0, 400.0, 1500.0))  # on its way there
+            if now >= ends:
+                lease, keys = 0, set()
+            reply: Reply | None = None
+            if request.do is Do.GRANT:
+                lease, ends, keys = lease + 1000 + int(now), now + 2000 / 1.01, set()
+                reply = Reply(lease=lease, ttl_ms=2000.0)
+            elif request.lease != lease:
+                reply = Reply()
+            elif request.do is Do.KEEP:
+                ends = now + 2000 / 1.01
+                reply = Reply(ttl_ms=2000.0)
+            elif request.do is Do.TAKE:
+                keys.add(request.rng)
+                reply = Reply(epoch=7)
+            else:
+                keys.discard(request.rng)
+                reply = Reply()
+            if dice.random() < 0.3:
+                reply = None
+            now += dice.choice((1.0, 5.0, 300.0, 1900.0))  # and back
+            one.answered(now, request, reply)
+            held = {rng for rng in range(4) if one.epoch(now, rng)}
+            assert not held or (now < ends and held <= keys), (seed, now, ends, held, keys)
+
+
+def test_a_script_may_cut_off_the_engine_only_where_there_is_one() -> None:
+    text = "fleet: {sites: {a: 3}, engine: %s}\nlength_s: 5\nevents: [{at_s: 1, cut: [all, engine], for_s: 2}]"
+    assert parse(text % "true").engine
+    with pytest.raises(ScriptError, match=r"^events\[0\]: engine: this fleet has none"):
+        parse(text % "false")
+
+
+@pytest.mark.fleet
+def test_a_strict_limit_holds_under_an_engine_that_is_cut_off_and_keepers_that_die() -> None:
+    done = play(read(ROOT / "rehearsals/limits/engine.yaml"), 3, say=lambda line: None)
+    assert done["broken"] == [] and done["limits"]["order-farms"]["most"] > 16
