--- a/benchmarks/fleet_cases.py
+++ b/benchmarks/fleet_cases.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -28,33 +32,54 @@
     return replace(script, load=replace(script.load, rate=over * float(rates[0].per_s or 0) / part))
 
 
+def one(job: tuple[Path, int, float, int, float]) -> dict[str, Any]:
+    """One run, in a process of its own, so that the load of several fleets shares no interpreter."""
+    path, members, times, seed, slack_ms = job
+    began, words = time.monotonic(), [sys.executable, "-m", "benchmarks.fleet_cases", "--play", str(path), str(members),
+                                      str(times), str(seed), str(slack_ms)]
+    done = subprocess.run(words, capture_output=True, text=True, timeout=600, check=False)
+    try:
+        row: dict[str, Any] = json.loads(done.stdout.splitlines()[-1])
+    except (IndexError, ValueError):
+        row = {"broken": [f"no result: {done.stderr.strip()[-300:]}"], "limits": {}}
+    return {"script": path.stem, "over": times, "seed": seed, **row, "seconds": round(time.monotonic() - began, 1)}
+
+
+def played(path: str, members: str, times: str, seed: str, slack_ms: str) -> None:
+    """What that process does: one JSON line."""
+    script = loaded(read(Path(path), int(members)), float(times))
+    done = play(script, int(seed), say=lambda line: None, slack_ms=float(slack_ms))
+    print(json.dumps({"broken": done["broken"], "limits": done.get("limits", {}), "outcomes": done.get("outcomes")}))
+
+
 @click.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 @click.option("--members", default=0, type=click.IntRange(0, 60), help="Grow the sites to so many; 0 leaves them.")
 @click.option("--seeds", default=5, show_default=True, type=click.IntRange(1, 100))
 @click.option("--over", default="0", show_default=True, help="Demand, in limits; 0 is the script's own. A list.")
+@click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 16), help="Fleets at a time.")
 @click.option("--slack-ms", default=250.0, show_default=True, type=click.FloatRange(0, 10_000))
-def main(folder: Path, members: int, seeds: int, over: str, slack_ms: float) -> None:
+def main(folder: Path, members: int, seeds: int, over: str, jobs: int, slack_ms: float) -> None:
     """Print one JSON line a run, then the tightest of each script."""
+    work = [(path, members, float(times), seed, slack_ms) for seed in range(1, seeds + 1)
+            for times in over.split(",") for path in sorted(folder.glob("*.yaml"))]
     tight: dict[str, tuple[float, str]] = {}
     held = runs = 0
-    for path in sorted(folder.glob("*.yaml")):
-        for times in over.split(","):
-            for seed in range(1, seeds + 1):
-                began = time.monotonic()
-                done = play(loaded(read(path, members), float(times)), seed, say=lambda line: None, slack_ms=slack_ms)
-                runs, held = runs + 1, held + (not done["broken"])
-                limits = done.get("limits", {})
-                print(json.dumps({"script": path.stem, "over": float(times), "seed": seed, "broken": done["broken"],
-                                  "limits": limits, "outcomes": done.get("outcomes"),
-                                  "seconds": round(time.monotonic() - began, 1)}), flush=True)
-                for name, row in limits.items():
-                    label = f"{path.stem} {name}"
-                    tight[label] = max(tight.get(label, (0.0, "")), (row["ratio"], f"seed {seed}, {times} limits"))
+    with ThreadPoolExecutor(jobs) as pool:
+        for row in pool.map(one, work):
+            runs, held = runs + 1, held + (not row["broken"])
+            print(json.dumps(row), flush=True)
+            for name, limit in row["limits"].items():
+                label = f"{row['script']} {name}"
+                tight[label] = max(tight.get(label, (0.0, "")),
+                                   (limit["ratio"], f"seed {row['seed']}, {row['over']:g} limits"))
     for label, (ratio, where) in tight.items():
         print(f"{label}: {ratio:.3f} of its bound at the most ({where})")
     print(f"{held} of {runs} runs held every promise")
 
 
 if __name__ == "__main__":
-    main()
+    if sys.argv[1:2] == ["--play"]:
+        played(*sys.argv[2:7])
+    else:
+        main()
--- a/benchmarks/fleet_limits.py
+++ b/benchmarks/fleet_limits.py
@@ -111,7 +111,7 @@
     """One large fleet in virtual time: ten starts a second a member, demand twice that, 80% at one member, moved after
     12 s; then 10,000 callers' keys, each touched about once, and silence."""
     per_s = 10.0 * size
-    fleet = Fleet(size, Limit(per_s=per_s), GrantTerms(), seed, sizes=True)
+    fleet = Fleet(size, Limit(per_s=per_s), GrantTerms(), seed, sizes=True, hold_ms=1000.0)
     fleet.run(3000)
     demand, began = per_s * 2, time.monotonic()
     for hot, until in ((0, 15_000), (size - 1, 27_000)):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -251,7 +251,7 @@
     (SCRIPT + "events: [{at_s: 1, kill: a1, pause: a1}]", "events[0]: expected one of"),
     (SCRIPT + "events: [{at_s: 10, kill: a1}]", "events[0].at_s: expected"),
     (SCRIPT + "events: [{at_s: 1, kill: a1, for_s: 2}]", "events[0].for_s: unknown key"),
-    (SCRIPT + "events: [{at_s: 1, cut: [a1, site z]}]", "events[0]: engine: this"),
+    (SCRIPT + "events: [{at_s: 1, cut: [a1, site z]}]", "events[0].cut[1]: no member"),
     (SCRIPT + "events: [{at_s: 1, cut: [a1, engine]}]", "events[0]: engine: this"),
     (SCRIPT + "events: [{at_s: 1, link: [all, all], drop: 2}]", "events[0].drop: expected"),
     (SCRIPT + "events: [{at_s: 1, kill: a1}, {at_s: 2, leave: a1}]", "events[1].leave: a1 does not run"),
