--- a/myrtlespar/emulate/limits.py
+++ b/myrtlespar/emulate/limits.py
@@ -41,6 +41,8 @@
         self.places = {name: Places(agent) for name, agent in self.agents.items()}
         self.rates = dict.fromkeys(self.names, 0.0)
         self._count = 0
+        self.lone: frozenset[str] = frozenset()
+        self.starts_by: Counter[tuple[str, int]] = Counter()  # by member and second
         self._until: dict[str, float] = {}  # of those that wait
         self.seen = Moved()
         self._window: deque[float] = deque()
@@ -59,12 +61,21 @@
 
     def _carry(self, name: str, effects: list[Effect]) -> None:
         for effect in effects:
-            if isinstance(effect, Tell):
+            if isinstance(effect, Tell) and (effect.to in self.lone) == (name in self.lone):
                 self.seen.messages += 1
                 if self.sizes:
                     self.seen.bytes += len(encode(Letter("emulated", name, 1, effect.message)))
                 self.engine.at(self.engine.now + self.hop_ms, self._heard, effect.to, name, effect.message)
 
+    def part(self, lone: frozenset[str], noticed_ms: float = 2000.0) -> None:
+        """These are cut off from the rest from now on (nobody: all are joined again); membership notices later."""
+        self.lone = lone
+        self.engine.at(self.engine.now + noticed_ms, self._noticed, lone)
+
+    def _noticed(self, lone: frozenset[str]) -> None:
+        for name, agent in self.agents.items():
+            agent.here = frozenset(other for other in self.names if (other in lone) == (name in lone))
+
     def _heard(self, to: str, sender: str, message: Message) -> None:
         self._carry(to, self.agents[to].receive(self.engine.now, (sender, 1), message))
 
@@ -90,6 +101,7 @@
                 self.engine.at(now + room.after_ms, self._ready, name)
             return
         self.seen.starts[int(now / 1000)] += 1
+        self.starts_by[name, int(now / 1000)] += 1
         if self.keys:
             return
         while self._window and self._window[0] <= now - self.limit.window_ms:
