--- a/myrtlespar/standins/fleet/starter.py
+++ b/myrtlespar/standins/fleet/starter.py
@@ -219,7 +219,8 @@
             until(lambda: member.last("serving") or not member.up, "start")  # noqa: B023
             if not member.up:
                 raise RuntimeError(f"{member.name} ended: {self._tail(member)}")
-            self.did("up", member.name)
+            row = member.last(JOINING)  # not when we look: on a busy machine others see it long before
+            self.did("up", member.name, at=row["at"] if row else 0.0)
         until(self.whole, "whole views")
 
     def whole(self) -> bool:
