Bound what is held for one caller, so that its connections have room for other work

A caller's line holds eight; the rest is refused at once, with the time when there may be room. limits.line_full counts it.

--- a/myrtlespar/fleet/limits.py
+++ b/myrtlespar/fleet/limits.py
@@ -33,6 +33,7 @@
     from myrtlespar.fleet.engine import Engine
 
 log = structlog.get_logger()
+HELD_MOST = 8  # of one caller: its connections carry so many unanswered, and it has other work on them
 
 
 class Limits:
@@ -60,6 +61,7 @@
             self._read()
         self._no_call: set[str] = set()  # runs whose call found no room yet
         self.engine: Engine | None = None
+        self._sender = 0
         self.places: Places | None = None
         self.calls: Places | None = None
         self._asked: tuple[str, list[str], str, Room] = "", [], "", ROOM  # the last that found no room
@@ -207,6 +209,10 @@
         key, room = places.ask(now, id, keys)
         if key:
             self._asked = id, keys, key, room
+            self._sender = sender
+            if places.line[sender] >= HELD_MOST:
+                self.counters.add("limits.line_full")
+                return float("inf")
             return room.after_ms
         for name, _ in applying:
             self.admitted[name] = self.admitted.get(name, 0) + 1
@@ -216,11 +222,13 @@
         """It waits for the room that it was just told of; the lowest order is first."""
         if self.places is not None and self._asked[0] == id:
             self.counters.add("limits.held")
-            self.places.wait(id, order, self._asked[1])
+            self.places.wait(id, order, self._asked[1], self._sender)
 
     def turned_away(self, id: str, after_ms: float) -> float:
         """It is refused for want of room: when its caller is to come back, spread over the time behind `after_ms`."""
         asked, _, key, room = self._asked
+        if id == asked:
+            after_ms = room.after_ms
         if self.places is None or self.agent is None:
             return after_ms * (1 + self.dice.random())
         if id in self.places.waiting:  # it was held as long as it was of use
--- a/myrtlespar/quota/places.py
+++ b/myrtlespar/quota/places.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Sequence
 
 from myrtlespar.quota.agent import Agent
@@ -22,6 +23,8 @@
         self.waiting: dict[str, tuple[float, Sequence[str]]] = {}  # request: its order, its keys
         self._rows: dict[str, list[tuple[float, str]]] = {}  # key: heap of (order, request), some of them gone
         self._many: dict[str, int] = {}  # key: how many wait
+        self._caller: dict[str, int] = {}
+        self.line: Counter[int] = Counter()  # how many wait of each caller
         self._hand: dict[str, list[str]] = {}  # request: keys of limits on what is in hand
         self._out: set[str] = set()  # told that they may try again
         self._fading: list[tuple[float, int, list[str]]] = []  # when, number, keys of what lingers
@@ -48,9 +51,11 @@
                 self._hand.setdefault(id, []).append(key)
         return "", ROOM
 
-    def wait(self, id: str, order: float, keys: Sequence[str]) -> None:
+    def wait(self, id: str, order: float, keys: Sequence[str], caller: int = 0) -> None:
         """It waits for a place; the lowest order is first."""
         self.waiting[id] = order, keys
+        self._caller[id] = caller
+        self.line[caller] += 1
         for key in keys:
             heapq.heappush(self._rows.setdefault(key, []), (order, id))
             self._many[key] = self._many.get(key, 0) + 1
@@ -111,6 +116,10 @@
 
     def _leave(self, id: str) -> None:
         _, keys = self.waiting.pop(id)
+        caller = self._caller.pop(id)
+        self.line[caller] -= 1
+        if not self.line[caller]:
+            del self.line[caller]
         for key in keys:
             self._many[key] -= 1
             if not self._many[key]:
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -6,7 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from myrtlespar.counters import Counters
 from myrtlespar.decide import FOR_ROOM, Policy
+from myrtlespar.fleet.limits import HELD_MOST, Limits
+from myrtlespar.fleet.settings import read_fleet
 from myrtlespar.interface import (
     Arrival,
     Call,
@@ -84,6 +87,16 @@
     assert held.ready(21_020.0) == ["both"] and held.ask(21_020.0, "both", ("x", "y"))[0] == ""
 
 
+def test_the_line_of_each_caller_is_counted() -> None:
+    held = places(1)
+    assert held.ask(20_000.0, "0", ("x",))[0] == ""
+    for n in range(1, 6):
+        held.wait(f"{n}", float(n), ("x",), n % 2)
+    assert dict(held.line) == {1: 3, 0: 2}
+    held.over("1")
+    assert held.ready(21_020.0) == ["2"] and dict(held.line) == {1: 2, 0: 1}
+
+
 class Port:
     """A fleet that has room for so many, and again after so long."""
 
@@ -199,3 +212,34 @@
 def test_a_prefix_names_its_caller_in_a_safe_word() -> None:
     assert [prefix(key, ":") for key in ("shop:17", "shop", "", ":17")] == ["shop", "-", "-", "-"]
     assert prefix("a b:1", ":").startswith("#") and len(prefix("x" * 100 + ":1", ":")) == 9
+
+
+class Nobody:
+    """A peer link that reaches nobody."""
+
+    def __init__(self) -> None:
+        self.others: dict[bytes, object] = {}
+
+    def send(self, to: str, data: bytes) -> None:
+        """Lost."""
+
+
+def test_one_caller_s_line_is_bounded_and_leaves_the_others_room_to_wait(tmp_path) -> None:  # type: ignore[no-untyped-def]
+    path = tmp_path / "fleet.yaml"
+    path.write_text("fleet: f\nsite: a\nname: a1\nbind: 127.0.0.1:7100\nelectorate: {version: 1, sites: {a: [a1]}}\n"
+                    "limits: {x: {per_s: 1, standing: 1.0}}\nrepeats: {share: 0.5, burst: 2}")
+    counters = Counters()
+    limits = Limits(read_fleet(str(path), "a1"), ["order"], Nobody(), counters, 1)  # type: ignore[arg-type]
+    limits.begin(1)
+    assert limits.agent is not None and limits.room("early", 0, 1) > 0  # its standing share is not its own yet
+    limits.agent.holder.began -= 5000
+    assert limits.room("0", 0, 1) == 0.0
+    for n in range(HELD_MOST):
+        assert 0 < limits.room(f"{n + 1}", 0, 1) < float("inf")
+        limits.wait(f"{n + 1}", float(n))
+    assert limits.room("more", 0, 1) == float("inf") and 0 < limits.turned_away("more", float("inf")) < 60_000
+    assert limits.room("other", 0, 2) < float("inf") and counters.report()["limits.line_full"] == 1
+    limits.over("1")
+    assert limits.room("again", 0, 1) < float("inf") and not limits.ready() and limits.next_ms() < 2000
+    assert [limits.tried(True) for _ in range(3)] == [True, True, False] and not limits.may_repeat()
+    limits.retire()
