--- a/myrtlespar/quota/agent.py
+++ b/myrtlespar/quota/agent.py
@@ -72,6 +72,7 @@
         self.ranges = [Range(Candidacy(terms, electors)) for _ in range(terms.ranges)]
         self.here: frozenset[str] = frozenset()
         self.seeks: set[int] = set()  # ranges that we would keep, if the engine lets us
+        self._budgets = any(limit.of is Of.BUDGET for limit in limits.values())
         self.began = now
         self.version = version  # of the limits
         self.versions: dict[str, int] = {me[0]: version}  # that electors told us, as far as we keep a range
@@ -92,7 +93,7 @@
     def look(self, now: float, key: str, ahead: int = 0, again: bool = False) -> Room:
         """Whether there is room for one more of a key behind so many that wait for it. Never waits."""
         limit = self.limit_of(key)
-        if limit is not None and limit.of is Of.BUDGET:
+        if self._budgets and limit is not None and limit.of is Of.BUDGET:
             return self.purse.look(now, now + self.wall_ms, key, limit, ahead, again)
         return ROOM if limit is None else self.holder.look(now, key, limit, ahead, again)
 
@@ -110,17 +111,16 @@
 
     def pocket(self, now: float, key: str) -> Pocket | None:
         """Ours of a budget's present period; None for other limits."""
-        limit = self.limit_of(key)
+        limit = self.limit_of(key) if self._budgets else None
         if limit is None or limit.of is not Of.BUDGET:
             return None
         return self.purse.pocket(now + self.wall_ms, key, limit)
 
     def use(self, now: float, key: str) -> None:
         """Use one of a key that there is room for."""
-        pocket = self.pocket(now, key)
-        if pocket is not None:
+        if self._budgets and (pocket := self.pocket(now, key)) is not None:
             pocket.spent += 1
-        elif self.limit_of(key) is not None:
+        else:
             self.holder.use(now, key)
 
     def keeper(self, key: str) -> str:
--- a/myrtlespar/quota/holder.py
+++ b/myrtlespar/quota/holder.py
@@ -29,7 +29,8 @@
     mean: float = 0.0  # of the demand in a window, over some of them
     looks: int = 0  # that the mean was taken over
     want: int = 0
-    high: int = 0  # of what is in hand, the most since the last ask
+    rate: bool = True  # not what is in hand
+    high: int = 0  # of what is in use, the most since the last ask
     past: list[tuple[int, float]] = field(default_factory=list)  # grants that ended: amount, when
 
     def granted(self, now: float) -> int:
@@ -73,7 +74,8 @@
         if found is None:
             span = self.terms.waited(limit.window_ms)
             meter: Window | Hand = Window(span) if limit.of is Of.RATE else Hand()
-            found = self.shares[key] = Share(limit, self._standing(limit), meter, Window(span))
+            found = self.shares[key] = Share(limit, self._standing(limit), meter, Window(span),
+                                              rate=limit.of is Of.RATE)
         return found
 
     def _standing(self, limit: Limit) -> int:
@@ -96,15 +98,14 @@
         either way."""
         share = self.share(key, limit)
         share.wanted_at = now
-        hand = isinstance(share.meter, Hand)
-        if not again and not hand:
+        if not again and share.rate:
             share.tries.add(now)
         if limit.kind is Kind.ADVISORY:
             return ROOM
         allowance, used = self.allowance(now, share), share.meter.look(now)
         if used + ahead < allowance:
             return ROOM
-        if not again and hand:  # of what is in hand, the most at a time counts, and what found no room
+        if not again and not share.rate:  # of what is in hand, the most at a time counts, and what found no room
             share.tries.add(now)
         at = share.meter.room_at(now, allowance, ahead)
         after = at - now if at < float("inf") else self.terms.moved_ms(limit)
@@ -122,10 +123,12 @@
 
     def use(self, now: float, key: str) -> None:
         """Use one, right after `look` said that there is room."""
-        share = self.shares[key]
+        share = self.shares.get(key)
+        if share is None:  # no limit has this key
+            return
         share.meter.add(now)
-        if isinstance(share.meter, Hand):
-            share.high = max(share.high, share.meter.count)
+        if share.meter.count > share.high:
+            share.high = share.meter.count
 
     def ended(self, key: str) -> None:
         """A run of a limit on what is in hand is over."""
