Serve guarded classes: tries of one token and body share one run

Ruled out: malformed tokens (none seen), the kernel's own refusal (EINVAL came for those that ran). Also: faulty classes, effects and numbers are named by their key; two classes of one name are refused; little memory and few descriptors start; class names in any language; NOOP frees a key; labels are escaped; stops and skipped calls, which sockets cannot carry, are not decided.

--- a/myrtlespar/attempt/desk.py
+++ b/myrtlespar/attempt/desk.py
@@ -25,6 +25,7 @@
 
 FAILED = Answer(Kind.FAILED)
 LATE = Answer(Kind.FAILED, late=True)
+NEVER_RAN = Answer(Kind.FAILED, headers=())  # told apart from others by identity: the kernel began nothing
 
 
 class Effect(NamedTuple):
@@ -122,12 +123,12 @@
 
     def ended(self, id: str, outcome: Outcome, elapsed_ms: float, answer: Answer | None,
               now: float) -> list[Effect]:
-        """A run is over; a refusal as its answer proves that it never ran."""
+        """A run is over; a refusal or NEVER_RAN as its answer proves that it never began."""
         x = self.open.get(id)
         if x is None or x.state not in STARTED:
             return []
         final = answer or FAILED
-        event = ON_NEVER_RAN if final.kind is Kind.REFUSED else ON_ENDED
+        event = ON_NEVER_RAN if final.kind is Kind.REFUSED or final is NEVER_RAN else ON_ENDED
         return self._step(x, event, _tuple(Note, (final, outcome, elapsed_ms, b"")), now)
 
     def sweep(self, now: float) -> list[Effect]:
--- a/myrtlespar/config.py
+++ b/myrtlespar/config.py
@@ -13,9 +13,11 @@
 
 from myrtlespar import interface as api
 from myrtlespar.limits import Limits
-from myrtlespar.settings import MissingSetting, read_settings
+from myrtlespar.settings import FaultySetting, MissingSetting, read_settings
 
 Address = tuple[str, int]
+LEAST_DESCRIPTORS, LEAST_PLACES = 24, 4  # what the program itself takes is about half of that
+KEYS_PART, KEY_KB = 0.25, 6.0  # of the memory left, for kept keys; one with its result of 4 KiB
 SPARE_DESCRIPTORS = 48  # for the links of the server side, listeners, log and event loop
 BASE_MB = 22.0  # what the program takes with a few connections
 CONNECTION_KB = 24.0  # what one connection may add: its greenlet, and part of a message
@@ -169,20 +171,15 @@
         settings = read_settings(rows.table("settings").rows)
     except MissingSetting as error:
         raise ConfigError(str(error).replace("missing setting ", "settings.") + ": missing") from None
+    except FaultySetting as error:
+        raise ConfigError(f"settings.{error}") from None
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"settings: {type(error).__name__}: {error}") from None
     names = tuple(str(row.get("name", n)) for n, row in enumerate(rows.rows["settings"]["classes"]))
-    for n, row in enumerate(settings.classes):
-        if row.effect is api.Effect.KEYED:  # guards against running repeats that only a table of keys catches
-            raise ConfigError(f"settings.classes[{n}].effect: 'guarded' classes are not served on sockets")
-    own = rows.table("limits")
-    sockets = own.number("sockets", 1024, 64, 1e6)
-    memory_kb = 1024 * own.number("memory_mb", 192, BASE_MB + 1, 1e6)
-    links = min(Limits().store_links, int(sockets) // 12)
-    room = int((memory_kb - 1024 * BASE_MB) / CONNECTION_KB)
-    places = min(int(sockets) - SPARE_DESCRIPTORS - links, room)
-    limits = replace(Limits(), store_links=links, connections=places,
-                     stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
+    for n, name in enumerate(names):
+        if name in names[:n]:  # guards against requests whose class could be either of two
+            raise ConfigError(f"settings.classes[{n}].name: {name!r} is the name of another class too")
+    limits = _limits(rows, settings)
     listen = env.get("BALANCER_LISTEN", "")
     seed = rows.text("seed", "0")
     if not re.fullmatch(r"[0-9a-fA-F]{1,32}", seed):
@@ -191,7 +188,7 @@
         name=env.get("BALANCER_NAME") or rows.text("name"),
         listen=parse_address(listen, "BALANCER_LISTEN") if listen else rows.address("listen"),
         kernel=rows.address("kernel"), store=rows.address("store"), roster=rows.address("roster"),
-        seed=int(seed, 16), settings=settings, class_names=names, limits=limits,
+        seed=int(seed, 16), settings=_on_sockets(settings), class_names=names, limits=limits,
     )
     mgmt = env.get("BALANCER_MGMT", "")
     if mgmt or "mgmt" in rows.rows:
@@ -202,6 +199,29 @@
     return _operator(config, Table(_toml(operator), "")) if operator else config
 
 
+def _limits(rows: Table, settings: api.Settings) -> Limits:
+    """Sizes and times that follow what this process may have and how long repeats may come."""
+    own = rows.table("limits")
+    sockets = int(own.number("sockets", 1024, LEAST_DESCRIPTORS, 1e6))
+    spare_kb = 1024 * (own.number("memory_mb", 192, 1, 1e6) - BASE_MB)
+    windows = [kind.window_ms for kind in settings.classes if kind.effect is api.Effect.KEYED]
+    keys_kb = spare_kb * KEYS_PART if windows else 0.0
+    links = max(1, min(Limits().store_links, sockets // 12))
+    spare = min(SPARE_DESCRIPTORS, sockets * 3 // 4)
+    # With less memory than the program takes a few places are had all the same: nobody else can serve here.
+    places = max(LEAST_PLACES, min(sockets - spare - links, int((spare_kb - keys_kb) / CONNECTION_KB)))
+    limits = replace(Limits(), store_links=links, connections=places, stop_ms=rows.number("stop_ms", 3000, 0, 1e7))
+    if windows:  # a run is remembered from its end on, its window counts from before it began
+        limits = replace(limits, key_ms=max(windows), keys=max(1, int(keys_kb / KEY_KB)))
+    return limits
+
+
+def _on_sockets(settings: api.Settings) -> api.Settings:
+    """The settings as far as the sockets carry them: the platform's page has no message that stops a run, nor one
+    that goes on without a call. Guards against decisions that nothing carries out: such a run would hang."""
+    return replace(settings, can_stop=False, classes=[replace(kind, skip_worth=0.0) for kind in settings.classes])
+
+
 def needs_restart(old: Config, new: Config) -> list[str]:
     """Keys that differ in a new file but are read at a start only; a reload moves the server side's links."""
     moved = ("kernel", "store", "roster")
@@ -241,7 +261,9 @@
 def _operator(config: Config, rows: Table) -> Config:
     """The operator's file: the AJP front, its path mapping, AJP workers, and idempotency keys."""
     keys, ajp = rows.table("idempotency"), rows.table("ajp")
-    limits = replace(config.limits, key_ms=keys.number("remember_ms", config.limits.key_ms, 1, 1e8),
+    # Guards guarded classes against an operator's time that is shorter than their window.
+    least_ms = max((kind.window_ms for kind in config.settings.classes if kind.effect is api.Effect.KEYED), default=0.0)
+    limits = replace(config.limits, key_ms=max(least_ms, keys.number("remember_ms", Limits().key_ms, 1, 1e8)),
                      keys=int(keys.number("most", config.limits.keys, 1, 1e6)))
     thrift_key, key_header = keys.text("thrift_field", ""), keys.text("ajp_header", "").lower()
     keys.done()
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -242,7 +242,9 @@
                 self._wakes.append((now + after_ms, token))
             case api.Log(text):
                 log.info("policy", text=text)
-            case _:  # stops, joins, keys and skipped calls: no setting of this site leads to them
+            case api.Keep() | api.Forget():
+                pass  # the desk links the tries of one key by itself, from the first one that is read
+            case _:  # stops, joins and skipped calls: `config` reads no setting that leads to them
                 log.error("action not served", action=repr(action))
 
     def _carry(self, effects: list[Effect]) -> None:
--- a/myrtlespar/net/kernel.py
+++ b/myrtlespar/net/kernel.py
@@ -10,6 +10,7 @@
 import structlog
 
 from myrtlespar.attempt.commands import GAP, NEXT, Command, Commands, End, Greet, Mark, Order, Write
+from myrtlespar.attempt.desk import NEVER_RAN
 from myrtlespar.attempt.tries import STARTED
 from myrtlespar.config import Address, Config
 from myrtlespar.core import Core, unix_ms
@@ -207,6 +208,8 @@
                 self.book.settled(rid)
                 self.core.counters.add(f"kernel.{notice['status'].lower()}")
                 result = Answer(Kind.SERVED, body) if outcome is Outcome.OK else None
+                if outcome is Outcome.MOOT:  # it never ran: a repeat of its key may, so the key is free again
+                    result = NEVER_RAN
                 self.core.ended(rid, outcome, elapsed, result)
             elif kind == "IOREQ":
                 self.book.settled(rid)
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
 from typing import Any
 
 from gevent import socket
@@ -10,20 +11,23 @@
 from myrtlespar.config import Config
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.exchange import Answer, Exchange, Kind
+from myrtlespar.interface import Effect
 from myrtlespar.net import thriftwire as wire
 from myrtlespar.net.links import Closed, Outbox, Reader, Unfinished
 from myrtlespar.net.listener import Listener
 from myrtlespar.net.thriftwire import PROTOCOL_ERROR, UNKNOWN_METHOD, BadMessage, idl
 
+TOKEN, KEY_CHARS = "token", 200  # the field that the tries of one guarded request share
 # Bound once: looking a member up in its class costs as much as a step of a table.
 REQUEST, ANSWERED, LAST_ANSWERED = Be.REQUEST, Be.ANSWERED, Be.LAST_ANSWERED
 
 
 def _text(fields: dict[bytes, Any], name: str) -> str:
     value = fields.get(name.encode(), b"")
-    if not isinstance(value, bytes) or not value.isascii():
-        raise BadMessage(f"field {name} is no text")
-    return value.decode()
+    try:
+        return str(value, "utf-8")  # classes are named as in the settings, in any language
+    except (TypeError, UnicodeDecodeError):
+        raise BadMessage(f"field {name} is no text") from None
 
 
 def _number(fields: dict[bytes, Any], name: str, default: float, low: float, high: float) -> float:
@@ -58,7 +62,7 @@
     """One client's connection."""
 
     def __init__(self, front: ThriftFront, sock: socket.socket) -> None:
-        self.front, self.core = front, front.core
+        self.front, self.core, self.config = front, front.core, front.config
         self.outbox = Outbox(sock, front.limits.outbox_bytes, front.limits.send_ms)
         self.reader = Reader(sock, front.limits.frame_bytes)
         front.serial += 1
@@ -177,10 +181,25 @@
         exchange.rank = _number(fields, "prio", 0.0, 0.0, 1.0)
         exchange.sender = int(_number(fields, "peer", 0, 0, 1e9))
         exchange.again = _text(fields, "again") == "1"
-        if self.front.config.thrift_key:
-            exchange.key = _text(fields, self.front.config.thrift_key)[:200]
+        exchange.key = self._key(fields, cls, exchange)
         return exchange
 
+    def _key(self, fields: dict[bytes, Any], cls: int, exchange: Exchange) -> str:
+        """What links the tries of one request: the platform's token, or an operator's field."""
+        if self.config.settings.classes[cls].effect is not Effect.KEYED:
+            return _text(fields, self.config.thrift_key)[:KEY_CHARS] if self.config.thrift_key else ""
+        token = _text(fields, TOKEN)
+        if len(token) > KEY_CHARS:  # cut short, two of them could be one
+            raise BadMessage(f"field {TOKEN} is too long")
+        if not token:
+            if exchange.again:  # guards against a second run of what an earlier try ran here
+                self.core.counters.add("in.no_token.thrift")
+                raise BadMessage(f"field {TOKEN} is missing in a further try")
+            return ""
+        # Guards a result, and the request itself, against others who have its token: what asks for something else
+        # is another request.
+        return f"{token} {blake2b(exchange.body, digest_size=8).hexdigest()}"
+
     def _answer(self, seq: int, answer: Answer) -> None:
         self.used = unix_ms()
         if answer.kind is Kind.SERVED and len(answer.body) <= self.front.limits.result_bytes:
--- a/myrtlespar/ops/desk.py
+++ b/myrtlespar/ops/desk.py
@@ -24,10 +24,15 @@
     more: Sequence[str] = ()  # further lines of the exposition
 
 
+def _label(name: str) -> str:
+    """A label's value, with what the exposition format wants escaped."""
+    return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 def exposition(figures: Figures) -> bytes:
     """The figures as Prometheus text exposition, each family with its TYPE line."""
     out: list[str] = []
-    rows = list(zip(figures.names, figures.ends, figures.forwards, strict=True))
+    rows = list(zip(map(_label, figures.names), figures.ends, figures.forwards, strict=True))
     for n, kind in enumerate(KINDS):
         out.append(f"# TYPE app_{kind} counter")
         out += [f'app_{kind}{{service="{name}"}} {ends[n]}' for name, ends, _ in rows]
--- a/myrtlespar/settings.py
+++ b/myrtlespar/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from myrtlespar import interface as api
@@ -17,22 +18,41 @@
     """A setting that the module cannot do without was not given."""
 
 
+class FaultySetting(Exception):
+    """A setting is there and means nothing; the text begins with its key."""
+
+
 def _require(table: Json, key: str, path: str) -> Any:
+    if not isinstance(table, dict):  # guards against a fault that would name no key
+        raise FaultySetting(f"{path.rstrip('.') or 'settings'}: expected a table, got {table!r}"[:200])
     value = table.get(key)
     if value is None:
         raise MissingSetting(f"missing setting {path}{key}")
     return value
 
 
+def _number(value: Any, name: str, low: float = 0.0) -> float:
+    """A finite number from `low` on."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < math.inf:
+        raise FaultySetting(f"{name}: expected a number from {low:g}, got {value!r}"[:200])
+    return float(value)
+
+
+def _effect(value: Any, name: str) -> api.Effect:
+    if not isinstance(value, str) or value not in EFFECTS:
+        raise FaultySetting(f"{name}: expected one of {', '.join(EFFECTS)}, got {value!r}"[:200])
+    return EFFECTS[value]
+
+
 def _class(row: Json, index: int, calls: list[bool], skips: list[float]) -> api.RequestClass:
     path = f"classes[{index}]."
     return api.RequestClass(
-        aim_ms=float(_require(row, "aim_ms", path)),
-        give_up_ms=float(_require(row, "give_up_ms", path)),
+        aim_ms=_number(_require(row, "aim_ms", path), f"{path}aim_ms"),
+        give_up_ms=_number(_require(row, "give_up_ms", path), f"{path}give_up_ms"),
         worth=float(row.get("worth", 1.0)),
         late_worth=float(row.get("late_worth", 0.0)),
-        effect=EFFECTS[_require(row, "effect", path)],
-        window_ms=float(row.get("window_ms", 0.0)),
+        effect=_effect(_require(row, "effect", path), f"{path}effect"),
+        window_ms=_number(row.get("window_ms", 0.0), f"{path}window_ms"),
         calls=bool(calls[index]) if index < len(calls) else False,
         skip_worth=float(skips[index]) if index < len(skips) else 0.0,
     )
@@ -47,13 +67,18 @@
     info = _require(params, "family_info", "")
     rules = _require(params, "invariants", "")
     allow = params.get("permissions") or {}
+    for name, table in (("family_info", info), ("invariants", rules), ("permissions", allow)):
+        if not isinstance(table, dict):
+            raise FaultySetting(f"{name}: expected a table, got {table!r}"[:200])
     calls = info.get("calls_by_class") or []
     skips = info.get("degraded_worth") or []
     rows = _require(params, "classes", "")
+    if not isinstance(rows, list) or not rows:
+        raise FaultySetting(f"classes: expected at least one class, got {rows!r}"[:200])
     return api.Settings(
         classes=[_class(row, i, calls, skips) for i, row in enumerate(rows)],
-        cores=int(_require(info, "cores", "family_info.")),
-        memory_kb=float(_require(info, "memory_kb", "family_info.")),
+        cores=int(_number(_require(info, "cores", "family_info."), "family_info.cores")),
+        memory_kb=_number(_require(info, "memory_kb", "family_info."), "family_info.memory_kb"),
         tenant_quotas=[float(t.get("quota_rps", 0.0)) for t in params.get("projects") or []],
         over_share_worth=float(params.get("over_share_worth", 1.0)),
         servers=int(params.get("servers", 1)),
@@ -62,8 +87,8 @@
         cold=bool(info.get("cold", False)),
         cold_from=float(rules.get("cold_from", 1.0)),
         warm_up_ms=float(rules.get("warm_up_ms", 0.0)),
-        fall_multiple=float(_require(rules, "fall_multiple", "invariants.")),
-        fall_ms=float(_require(rules, "fall_ms", "invariants.")),
+        fall_multiple=_number(_require(rules, "fall_multiple", "invariants."), "invariants.fall_multiple"),
+        fall_ms=_number(_require(rules, "fall_ms", "invariants."), "invariants.fall_ms"),
         answer_slack_ms=float(rules.get("answer_slack_ms", 0.0)),
         drain_grace_ms=float(rules.get("drain_grace_ms", 0.0)),
         round_ms=float(params.get("round_ms", 1.0)),
--- a/myrtlespar/simhost.py
+++ b/myrtlespar/simhost.py
@@ -12,7 +12,7 @@
 
 from myrtlespar import interface as api
 from myrtlespar.decide import Policy
-from myrtlespar.settings import Json, MissingSetting, read_settings
+from myrtlespar.settings import FaultySetting, Json, MissingSetting, read_settings
 
 OUTCOMES = {
     100: api.Outcome.OK,
@@ -106,7 +106,7 @@
     def _instance(self, now: float, name: str, rows: list[Json]) -> list[Json]:
         try:
             return self._decide(now, name, rows)
-        except MissingSetting as error:
+        except (MissingSetting, FaultySetting) as error:
             self._policies.pop(name, None)
             return [{"type": "bug", "message": str(error)}]
         except Exception as error:
--- a/myrtlespar/standins/program.py
+++ b/myrtlespar/standins/program.py
@@ -10,8 +10,9 @@
 import subprocess
 import sys
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 from myrtlespar.standins.base import WAIT_S, until
@@ -40,12 +41,13 @@
 
     def __init__(self, tmp: Path, operator: str = "", late_kernel: bool = False, sockets: int = 1024,
                  kernel: Kernel | None = None, program: Sequence[str] = ("myrtlespar",), root: Path = ROOT,
-                 mgmt: bool = False, listen: str = "127.0.0.1:0", shared: Path | None = None) -> None:
+                 mgmt: bool = False, listen: str = "127.0.0.1:0", shared: Path | None = None,
+                 given: Mapping[str, Any] = MappingProxyType({}), wait: bool = True) -> None:
         self.kernel, self.store, self.roster = kernel or Kernel(), Store(), Roster()
         self.config = {
             "name": "n3", "listen": listen, "kernel": self.kernel.address, "store": self.store.address,
             "roster": self.roster.address, "seed": "8c1f30d27a5be964", "stop_ms": 2500,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings()}
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings(), **given}
         if mgmt:
             self.config["mgmt"] = "127.0.0.1:0"
         self.path = tmp / "config.json"
@@ -56,13 +58,16 @@
             env["MYRTLESPAR_OPERATOR"] = str(tmp / "operator.toml")
         if late_kernel:
             self.kernel.up.clear()
+        self.ports: list[int] = []
+        self.mgmt: int | None = None
         self.process = subprocess.Popen([sys.executable, "-m", *program], cwd=root, env=env, text=True,
                                         stdout=subprocess.PIPE)
         self.log: list[dict[str, Any]] = []
         threading.Thread(target=self._read, daemon=True).start()
-        serving = until(lambda: self.event("serving"), "start")
-        self.ports, self.mgmt = serving["ports"], serving.get("mgmt")
-        if not late_kernel and kernel is None:
+        if wait:
+            serving = until(lambda: self.event("serving"), "start")
+            self.ports, self.mgmt = serving["ports"], serving.get("mgmt")
+        if wait and not late_kernel and kernel is None:
             until(lambda: self.event("kernel up"), "kernel link")
 
     def _read(self) -> None:
