Signals from the first moment on, half-closed clients, reloads while leaving or half-written

Seen and checked line by line (docs/crossings.md follows): serve.py set its handlers after all was loaded, so SIGTERM, SIGHUP or SIGINT in about 0.6 s of start killed the process (-15, -1); gevent's watchers went with serve()'s frame, so a second SIGTERM at the end left -15; a reload that met a half-written file was refused for good while the old addresses were going away; process.py CROSSING/RELOAD moved nothing, though runs of a hand-over end over those links; thrift.py took an end of stream for a departure, so a client that closed one direction got no answer; listener.py closed the idlest connection without a look at what had just come on it, and connections taken last from the queue were never told; the last flush could reach past the kill. Each has a test that forces the crossing (tests/test_crossings.py).

--- a/myrtlespar/__main__.py
+++ b/myrtlespar/__main__.py
@@ -11,9 +11,12 @@
         from myrtlespar.cli import main as command
 
         return command()
+    from myrtlespar.early import Early
+
+    early = Early()  # before all that takes time to load
     from myrtlespar.serve import main as serve
 
-    return serve()
+    return serve(early)
 
 
 if __name__ == "__main__":
--- a/myrtlespar/attempt/process.py
+++ b/myrtlespar/attempt/process.py
@@ -61,7 +61,7 @@
     (Stage.DRAINING, Say.EMPTY): Row(Stage.CROSSING, _CLOSE),
     (Stage.DRAINING, Say.KILL_NEAR): Row(Stage.CROSSING, _CLOSE),
     (Stage.CROSSING, Say.NOTICE): Row(Stage.CROSSING),
-    (Stage.CROSSING, Say.RELOAD): Row(Stage.CROSSING),  # too late to matter
+    (Stage.CROSSING, Say.RELOAD): Row(Stage.CROSSING, (Act.MOVE_LINKS,)),  # what is owed still ends over them
     (Stage.CROSSING, Say.BAD_RELOAD): Row(Stage.CROSSING, (Act.NAME_FAULT,)),
     (Stage.CROSSING, Say.CROSSED): Row(Stage.FLUSHING, (Act.FLUSH,)),
     (Stage.FLUSHING, Say.FLUSHED): Row(Stage.STOPPED, (Act.STOP,)),
--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -41,6 +41,13 @@
     report_every_ms: float = 1000.0  # to the roster; it forgets after 3 s
     report_ms: float = 900.0  # one report may take so long
 
+    # The operators' page on replacing a process: SIGKILL follows SIGTERM after the longest deadline, counted as the
+    # first of these at most, and the second.
+    handover_cap_ms: float = 3000.0
+    handover_spare_ms: float = 700.0
+    reload_look_ms: float = 50.0  # between looks at a faulty file of a reload, which may not be written to its end yet
+    reload_ms: float = 3000.0  # for so long, the time that the roster's list holds without a report
+
     kernel_line: int = 1 << 20
     kernel_marks: int = 256  # gauges asked for and not yet answered
     same_boot_ms: float = 1000.0  # two readings of one start of the kernel differ by less
--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -19,6 +19,10 @@
     """The other side closed, or sent what can't be read."""
 
 
+class Ended(Closed):
+    """The other side sends nothing more. It may still read."""
+
+
 class Unfinished(Exception):
     """We stopped reading from a client that did not finish what it began."""
 
@@ -174,5 +178,5 @@
         if self._stopped:
             raise Unfinished("nothing, or part of a message, in all the time for one")
         if not data:
-            raise Closed("end of stream")
+            raise Ended("end of stream")
         self._data += data
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -79,8 +79,13 @@
                 gevent.spawn(self._serve_then_close, conn, peer)
         except OSError:
             pass
+        gevent.spawn(self.drain)  # once those taken last are served: they too are told that nothing new is wanted
         self._server.close()
 
+    def drain(self) -> None:
+        """Ask every client to send nothing new."""
+        raise NotImplementedError
+
     def end(self) -> None:
         """Read nothing more on any connection."""
         for link in list(self.links):
@@ -102,7 +107,7 @@
             gevent.sleep(limits.idle_look_ms / 1000.0)
             now, before, self._unfinished = unix_ms(), self._unfinished, {}
             for link in list(self.links):
-                if self.idle_ms > 0 and now - link.used > self.idle_ms and not link.owes():
+                if self.idle_ms > 0 and now - link.used > self.idle_ms and self._free(link):
                     self.close_idle(link)
                 elif not link.messages or link.reader.begun():
                     messages, waited = before.get(link, (link.messages, 0.0))
@@ -126,11 +131,16 @@
         link.outbox.finish()
         link.outbox.drained(self.core.limits.send_ms / 1000.0)
 
+    @staticmethod
+    def _free(link: Link) -> bool:
+        """Whether it carries nothing. Guards a request that has come and was not read yet against our close."""
+        return not link.owes() and not link.reader.pending()
+
     def _make_room(self) -> bool:
         """Guards real clients against connections that hold all places and carry nothing: the idlest goes."""
         if len(self.links) < self.most:
             return True
-        idle = min((link for link in self.links if not link.owes()), key=lambda link: link.used, default=None)
+        idle = min((link for link in self.links if self._free(link)), key=lambda link: link.used, default=None)
         if idle is not None:
             self.close_idle(idle)
         return idle is not None
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -13,7 +13,7 @@
 from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.interface import Effect
 from myrtlespar.net import thriftwire as wire
-from myrtlespar.net.links import Closed, Outbox, Reader, Unfinished
+from myrtlespar.net.links import Closed, Ended, Outbox, Reader, Unfinished
 from myrtlespar.net.listener import Listener
 from myrtlespar.net.thriftwire import PROTOCOL_ERROR, UNKNOWN_METHOD, BadMessage, idl
 
@@ -113,6 +113,11 @@
                 elif self.bad >= self.front.limits.bad_most:  # guards the core's time against a flood
                     raise BadMessage("too many messages that could not be taken")
                 self.reader.breathe()
+        except Ended:  # guards clients that close one direction: all that was read is still answered
+            if self.owes():
+                self.core.counters.add("in.half_closed.thrift")
+            self._be(Be.SPOILT)
+            self.front.conclude(self)
         except Closed:
             pass
         except (BadMessage, Unfinished) as error:
--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -15,6 +15,7 @@
 from myrtlespar.config import Config, ConfigError, load, needs_restart
 from myrtlespar.core import Core, unix_ms
 from myrtlespar.counters import Counters
+from myrtlespar.early import Early, ignore
 from myrtlespar.net.ajp import AjpFront
 from myrtlespar.net.handfile import Folder
 from myrtlespar.net.kernel import Kernel
@@ -31,15 +32,13 @@
     from myrtlespar.fleet import Fleet
 
 log = structlog.get_logger()
-HANDOVER_CAP_MS = 3000.0  # SIGKILL follows SIGTERM after the longest deadline, counted as this at most,
-HANDOVER_SPARE_MS = 700.0  # and this
 KEYS_LOOK_S = 0.05  # between looks for an old process's keys
 
 
-def serve(config: Config) -> int:
+def serve(config: Config, early: Early) -> int:
     """Wire the parts, run until a notice to drain or a hand-over is carried out. 2: the management address
     can't be taken, or the fleet's file has a fault, before any client is."""
-    counters = Counters()
+    counters, limits, reloads = Counters(), config.limits, 0
     if config.trace:
         trace_to_log()
     core = Core(config.settings, config.seed, config.limits, counters)
@@ -66,14 +65,23 @@
             fleet.leave()
 
     def reload() -> None:
-        """Take over new addresses; a file with a fault changes nothing."""
-        try:
-            fresh = load()
-        except ConfigError as error:
-            counters.add("reload.refused")
-            if Act.NAME_FAULT in core.process.say(Say.BAD_RELOAD):
-                log.error("reload refused", error=str(error))
-            return
+        """Take over new addresses. A file with a fault changes nothing and is named; guards against one that was
+        half written when the signal came: it is looked at again for a while, until it is whole or asked for anew."""
+        nonlocal reloads
+        reloads = mine = reloads + 1
+        named, until = "", unix_ms() + config.limits.reload_ms
+        while True:
+            try:
+                fresh = load()
+                break
+            except ConfigError as error:
+                counters.add("reload.refused")
+                if str(error) != named and Act.NAME_FAULT in core.process.say(Say.BAD_RELOAD):
+                    log.error("reload refused", error=str(error))
+                named = str(error)
+            gevent.sleep(config.limits.reload_look_ms / 1000.0)
+            if mine != reloads or unix_ms() > until:
+                return
         if Act.MOVE_LINKS not in core.process.say(Say.RELOAD):
             return
         counters.add("reload.done")
@@ -85,8 +93,8 @@
 
     def hand_over() -> None:
         """SIGTERM beside a second process: stop listening, tell clients, answer what was read, then exit."""
-        longest = max((kind.give_up_ms for kind in config.settings.classes), default=0.0)
-        acts = core.process.handover(unix_ms(), min(longest, HANDOVER_CAP_MS) + HANDOVER_SPARE_MS)
+        longest = max(kind.give_up_ms for kind in config.settings.classes)
+        acts = core.process.handover(unix_ms(), min(longest, limits.handover_cap_ms) + limits.handover_spare_ms)
         log.info("handing over", owed=core.desk.owed)
         if Act.CLOSE_LISTENERS in acts:
             for front in fronts:
@@ -125,10 +133,16 @@
             print(f"mgmt: cannot listen on {config.mgmt[0]}:{config.mgmt[1]}: {error.strerror}", file=sys.stderr)
             return 2
     core.close_idle = close_idle
-    gevent.signal_handler(signal.SIGHUP, reload)
-    gevent.signal_handler(signal.SIGTERM, drain if mgmt is None else hand_over)
-    gevent.signal_handler(signal.SIGINT, drain)
-    gevent.signal_handler(signal.SIGUSR1, lambda: log.info("counters", **core.report()))
+    acts = {signal.SIGHUP: reload, signal.SIGTERM: drain if mgmt is None else hand_over, signal.SIGINT: drain,
+            signal.SIGUSR1: lambda: log.info("counters", **core.report())}
+    watchers = [gevent.signal_handler(number, act) for number, act in acts.items()]
+    early.hand_on(lambda number: gevent.spawn(acts[signal.Signals(number)]))
+    gevent.sleep(0)  # what came before is carried out
+    if core.draining:  # told to leave before anybody could reach it: nothing was read, nothing is owed
+        log.info("told to leave at the start")
+        if fleet is not None:
+            fleet.close()
+        return 0
     for front in fronts:
         front.start()
     turns = gevent.spawn(core.run)
@@ -154,10 +168,13 @@
                     front.end()  # before the keys: what were read behind them would be known to nobody
                 if folder is not None:
                     _leave_keys(core, folder)
-                flush_s = config.limits.flush_ms / 1000.0
+                # Guards the exit status against a client that does not read until the kill.
+                left_ms = max(0.0, core.process.kill_at - unix_ms())
+                flush_s = min(limits.flush_ms, left_ms / 2) / 1000.0
                 gevent.joinall([gevent.spawn(front.finish, flush_s) for front in fronts], flush_s)
                 stopped = Act.STOP in core.process.say(Say.FLUSHED)
     core.stop()
+    ignore(lambda: [watcher.cancel() for watcher in watchers])
     if fleet is not None:
         fleet.close()
     log.info("counters", **core.report())
@@ -215,8 +232,9 @@
         log.error("keys could not be left", error=str(error))
 
 
-def main() -> int:
+def main(early: Early | None = None) -> int:
     """Run until drained. 0 is a drain carried out, 2 a faulty configuration, named in one line."""
+    early = early or Early()
     structlog.configure(processors=[
         structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
         structlog.processors.format_exc_info, structlog.processors.JSONRenderer()])
@@ -226,4 +244,4 @@
     except ConfigError as error:
         print(error, file=sys.stderr)
         return 2
-    return serve(config)
+    return serve(config, early)
--- a/myrtlespar/standins/neighbours.py
+++ b/myrtlespar/standins/neighbours.py
@@ -147,6 +147,8 @@
     def __init__(self) -> None:
         self.reports: list[tuple[str, Any]] = []
         self.latest: dict[str, float] = {}  # by name, by the monotonic clock
+        self.times: list[float] = []  # of all reports
+        self.mode = ""  # "silent": reads and never answers; "down": ends each link; "cut inside": within its answer
         super().__init__()
 
     def listed(self) -> list[str]:
@@ -161,6 +163,13 @@
             while (header := file.readline().strip()) != b"":
                 if header.lower().startswith(b"content-length:"):
                     size = int(header.split(b":")[1])
+            if self.mode == "down":
+                return
+            self.times.append(time.monotonic())
             self.reports.append((line.decode().split()[1], json.loads(file.read(size))))
             self.latest[self.reports[-1][0].rpartition("/")[2]] = time.monotonic()
-            link.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            if self.mode == "cut inside":
+                link.sendall(b"HTTP/1.1 2")
+                return
+            if self.mode != "silent":
+                link.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
--- a/myrtlespar/standins/program.py
+++ b/myrtlespar/standins/program.py
@@ -42,7 +42,7 @@
     def __init__(self, tmp: Path, operator: str = "", late_kernel: bool = False, sockets: int = 1024,
                  kernel: Kernel | None = None, program: Sequence[str] = ("myrtlespar",), root: Path = ROOT,
                  mgmt: bool = False, listen: str = "127.0.0.1:0", shared: Path | None = None,
-                 given: Mapping[str, Any] = MappingProxyType({}), wait: bool = True) -> None:
+                 given: Mapping[str, Any] = MappingProxyType({}), wait: bool = True, start: str = "") -> None:
         self.kernel, self.store, self.roster = kernel or Kernel(), Store(), Roster()
         self.config = {
             "name": "n3", "listen": listen, "kernel": self.kernel.address, "store": self.store.address,
@@ -60,8 +60,8 @@
             self.kernel.up.clear()
         self.ports: list[int] = []
         self.mgmt: int | None = None
-        self.process = subprocess.Popen([sys.executable, "-m", *program], cwd=root, env=env, text=True,
-                                        stdout=subprocess.PIPE)
+        words = [start] if start else ["-m", *program]
+        self.process = subprocess.Popen([sys.executable, *words], cwd=root, env=env, text=True, stdout=subprocess.PIPE)
         self.log: list[dict[str, Any]] = []
         threading.Thread(target=self._read, daemon=True).start()
         if wait:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,10 @@
 """Requests, answers, ends and signals that cross each other, forced by the stand-ins. docs/crossings.md lists them."""
 
+import contextlib
+import itertools
 import json
+import signal
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -8,6 +12,7 @@
 import pytest
 
 from myrtlespar.config import ConfigError, load
+from myrtlespar.net.thriftwire import encode, idl
 from myrtlespar.standins import Client, Tile, settings, tile, until
 from myrtlespar.standins.scripted import ScriptedKernel
 
@@ -124,3 +129,161 @@
               "roster": "127.0.0.1:1", "settings": settings(), **given}
     (tmp / "c.json").write_text(json.dumps(config))
     return str(tmp / "c.json")
+
+
+@pytest.mark.parametrize("sent", ["SIGTERM", "SIGHUP", "SIGINT", "SIGUSR1"])
+@pytest.mark.parametrize("moment", ["early", "import", "config", "listen"])
+def test_a_signal_at_any_moment_of_the_start_neither_kills_nor_is_lost(tmp_path: Path, sent: str, moment: str) -> None:
+    """The signal is raised by the process itself, at a line of its start."""
+    hooks = {"early": "import myrtlespar.early as e; old = e.Early.__init__\n"
+                      "def at(s): old(s); raise_()\ne.Early.__init__ = at",
+             "import": "sys.meta_path.insert(0, type('F', (), {'find_spec': staticmethod(\n"
+                       "    lambda name, *a: raise_() if name == 'myrtlespar.serve' else None)}))",
+             "config": "import myrtlespar.early as e; old = e.Early.__init__\n"
+                       "def at(s):\n    old(s)\n    import myrtlespar.serve as v; load = v.load\n"
+                       "    def late(): c = load(); raise_(); v.load = load; return c\n    v.load = late\n"
+                       "e.Early.__init__ = at",
+             "listen": "import myrtlespar.net.listener as n; old = n.Listener.start\n"
+                       "def at(s): raise_(); old(s)\nn.Listener.start = at"}
+    start = ("import os, runpy, signal, sys\nsys.path.insert(0, os.getcwd())\n"
+             f"def raise_(): os.kill(os.getpid(), signal.{sent})\n{hooks[moment]}\n"
+             "sys.argv[:] = ['myrtlespar']\nrunpy.run_module('myrtlespar', run_name='__main__')\n")
+    (tmp_path / "started.py").write_text(start)
+    with tile(tmp_path, start=str(tmp_path / "started.py"), wait=False) as running:
+        if sent in ("SIGTERM", "SIGINT"):
+            assert running.process.wait(20) == 0
+        else:
+            running.ports = until(lambda: running.event("serving"))["ports"]
+            until(lambda: running.event("reloaded" if sent == "SIGHUP" else "counters"))
+            assert Client(running.ports[0]).ask("order", b"x")[0] == "success"
+
+
+@pytest.mark.parametrize("kernel", ["down", "silent", "late"])
+def test_a_notice_before_the_kernel_is_up_answers_all_and_ends_clean(tmp_path: Path, kernel: str) -> None:
+    with tile(tmp_path, late_kernel=True, given={"stop_ms": 1500}) as running:
+        if kernel == "down":
+            running.kernel.down()
+        client = Client(running.ports[0])
+        seqs = [client.send(method, b"ms=5") for method in ("order", "fetch")]
+        assert client.answer(client.say("ping", full=False))  # read behind them
+        running.process.terminate()
+        until(lambda: client.told)
+        if kernel == "late":
+            running.kernel.up.set()
+        kinds = [client.answer(seq)[0] for seq in seqs]
+        assert kinds == ["success"] * 2 if kernel == "late" else set(kinds) <= {"failed", "refused"}
+        assert running.process.wait(20) == 0 and set(client.count.values()) == {1}
+
+
+def test_a_client_that_closes_one_direction_gets_all_that_it_asked_for(
+        scripted: tuple[Tile, ScriptedKernel, Client]) -> None:
+    server, kernel, client = scripted
+    seqs = [client.send("tide", b"one"), client.send("booking", b"two", token="dd")]
+    until(kernel.read)
+    until(kernel.read)
+    client.sock.sendall(b"\0\0")  # half of a length, which is no request
+    client.sock.shutdown(socket.SHUT_WR)
+    until(lambda: server.counters().get("in.half_closed.thrift"))
+    for body in (b"one", b"two"):
+        kernel.end(body, "PASS")
+        until(kernel.hear)
+    assert [client.answer(seq)[0] for seq in seqs] == ["success"] * 2
+    assert client.ended.wait(20) and set(client.count.values()) == {1}
+
+
+def test_a_reload_of_a_half_written_file_is_named_and_taken_once_it_is_whole(tmp_path: Path) -> None:
+    with tile(tmp_path) as running:
+        old = running.kernel
+        running.kernel = type(old)()
+        text = json.dumps({**running.config, "kernel": running.kernel.address})
+        running.path.write_text(text[:-20])
+        running.process.send_signal(signal.SIGHUP)
+        assert until(lambda: running.event("reload refused"))["error"].startswith("BALANCER_CONFIG: not JSON")
+        running.path.write_text(text)
+        until(lambda: running.event("reloaded"))
+        assert Client(running.ports[0]).ask("order", b"on the new link")[0] == "success"
+        assert running.kernel.by_body[b"on the new link"] == 1
+        old.down()
+
+
+def test_a_reload_in_a_hand_over_moves_the_links_that_its_runs_end_over(tmp_path: Path) -> None:
+    with tile(tmp_path, mgmt=True) as running:
+        client = Client(running.ports[0])
+        running.store.script = ["hang"]
+        seq = client.send("order", b"calls=1")
+        until(lambda: running.store.calls)
+        running.process.terminate()
+        until(lambda: running.event("handing over"))
+        until(lambda: client.told)
+        running.kernel.relisten()
+        running.config["kernel"] = running.kernel.address
+        running.path.write_text(json.dumps(running.config))
+        running.process.send_signal(signal.SIGHUP)
+        until(lambda: sum(row["event"] == "kernel up" for row in running.log) == 2)
+        running.kernel.note(t="REAP", rid=next(iter(running.kernel.running)), status="PASS", time_ms=5, b64="")
+        assert client.answer(seq)[0] == "success" and running.process.wait(20) == 0
+
+
+def test_what_is_taken_last_from_the_queue_is_told_and_answered(tmp_path: Path) -> None:
+    """Connections made while the process stands still lie in the accept queue as it closes its listener."""
+    with tile(tmp_path, mgmt=True) as running:
+        running.process.send_signal(signal.SIGSTOP)
+        clients = [Client(running.ports[0]) for _ in range(12)]
+        seqs = [client.send("order", b"ms=100") for client in clients]
+        running.process.terminate()
+        running.process.send_signal(signal.SIGCONT)
+        assert all(client.answer(seq)[0] == "success" for client, seq in zip(clients, seqs, strict=True))
+        assert all(client.ended.wait(20) and client.told == ["shutdown"] for client in clients)
+        assert running.process.wait(20) == 0
+
+
+def test_no_connection_with_a_request_that_just_came_makes_room(tmp_path: Path) -> None:
+    with tile(tmp_path, sockets=64) as running:
+        clients = [Client(running.ports[0]) for _ in range(11)]  # all places
+        for client in clients:
+            assert client.answer(client.say("ping", full=False))
+        for busy in clients[:10:2]:  # each in turn is the idlest, and the one behind it goes
+            running.process.send_signal(signal.SIGSTOP)
+            new = Client(running.ports[0])
+            seq = busy.send("fetch", b"crosses")
+            running.process.send_signal(signal.SIGCONT)
+            assert busy.answer(seq)[0] == "success"
+            assert new.ask("fetch", b"new")[0] == "success"
+        assert running.counters()["in.idle_closed.thrift"] == 5
+
+
+@pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_signals_through_the_whole_drain_leave_status_0_beside_a_client_that_does_not_read(
+        tmp_path: Path, again: signal.Signals) -> None:
+    with tile(tmp_path, given={"stop_ms": 700, "settings": classes(("slow", "free", 9000.0))}) as running:
+        client = Client(running.ports[0])
+        seq = client.send("slow", b"ms=60000")
+        until(lambda: running.kernel.starts)
+        deaf = socket.create_connection(("127.0.0.1", running.ports[0]))
+        ping = encode("ping", 1, 1, idl.Front.ping_args(full=False))
+        with contextlib.suppress(OSError):
+            deaf.settimeout(0.5)
+            for _ in range(40):
+                deaf.sendall(ping * 500)
+        running.process.terminate()
+        until(lambda: client.told)
+        while running.process.poll() is None:  # at every moment of it, its end included
+            running.process.send_signal(again)
+        assert running.process.returncode == 0
+        assert client.answer(seq)[0] == "failed" and client.count[seq] == 1
+
+
+@pytest.mark.parametrize("roster", ["silent", "down", "cut inside"])
+def test_a_list_that_goes_quiet_hears_of_us_in_time_once_it_listens(tmp_path: Path, roster: str) -> None:
+    with tile(tmp_path) as running:
+        until(lambda: running.roster.reports)
+        running.roster.mode = roster
+        running.roster.cut()
+        until(lambda: running.counters().get("roster.failed"))
+        if roster == "silent":  # each of its reports arrives whole, so it stays on the list
+            seen = len(running.roster.reports)
+            until(lambda: len(running.roster.reports) > seen + 2)
+            times = [at for at in running.roster.times[-3:]]
+            assert max(b - a for a, b in itertools.pairwise(times)) < 3.0
+        running.roster.mode = ""
+        until(lambda: running.roster.listed())
