--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,7 +5,9 @@
 import json
 import signal
 import socket
-from collections.abc import Iterator
+import struct
+import time
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -287,3 +289,112 @@
             assert max(b - a for a, b in itertools.pairwise(times)) < 3.0
         running.roster.mode = ""
         until(lambda: running.roster.listed())
+
+
+@contextlib.contextmanager
+def frozen(server: Tile) -> Iterator[None]:
+    """The program stands still meanwhile: all that comes and ends in it is there at once when it goes on."""
+    server.process.send_signal(signal.SIGSTOP)
+    stat = Path(f"/proc/{server.process.pid}/stat")
+    until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T")
+    yield
+    server.process.send_signal(signal.SIGCONT)
+
+
+def reset(client: Client) -> None:
+    """End a connection with a reset, whatever is unread."""
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.sock.shutdown(socket.SHUT_RD)  # wakes its reader, which holds the descriptor
+    client.ended.wait(20)
+    client.sock.close()
+
+
+@pytest.mark.parametrize("other", ["abort", "reset", "half close", "link cut", "SIGTERM", "SIGHUP", "repeat"])
+@pytest.mark.parametrize("what", ["result", "call", "request"])
+def test_two_things_in_one_moment_leave_one_answer_and_one_run(
+        scripted: tuple[Tile, ScriptedKernel, Client], what: str, other: str) -> None:
+    server, kernel, client = scripted
+    first = Client(server.ports[0])
+    seq = 0
+    if what != "request":
+        seq = first.send("booking", b"it", token="ee")
+        until(kernel.read)
+    with frozen(server):
+        if what == "request":
+            seq = first.send("booking", b"it", token="ee")
+        elif what == "call":
+            kernel.ask(b"it")
+            kernel.hear()
+        else:
+            kernel.end(b"it", "PASS")
+            kernel.hear()
+        if other == "abort":
+            first.say("abort", seqid=seq)
+        elif other == "reset":
+            reset(first)
+        elif other == "half close":
+            first.sock.shutdown(socket.SHUT_WR)
+        elif other == "link cut":
+            kernel.free = True
+            kernel.cut(kernel.link)
+        elif other == "repeat":
+            second = client.send("booking", b"it", token="ee", again="1")
+        else:
+            server.process.send_signal(signal.Signals[other])
+    kernel.let_go()  # from now on all passes, and what runs ends
+    if other not in ("abort", "reset"):
+        finish(kernel, lambda: seq in first.answers)
+        assert first.answer(seq)[0] in (("success",) if other != "SIGTERM" else ("success", "refused"))
+    if other == "repeat":
+        finish(kernel, lambda: second in client.answers)
+        assert client.answer(second)[0] == "success"
+    if other != "SIGTERM":
+        after = client.send("tide", b"after")
+        finish(kernel, lambda: after in client.answers)
+        assert client.answer(after)[0] == "success"
+    assert server.stop() == 0
+    counts = until(lambda: server.event("counters"))
+    assert not [name for name in counts if name.startswith("impossible")], counts
+    assert set(first.count.values()) <= {1} and kernel.by_body[b"it"] <= 1
+
+
+def finish(kernel: ScriptedKernel, ready: Callable[[], bool]) -> None:
+    """End all that runs until this is so."""
+    def look() -> bool:
+        for rid in list(kernel.running):
+            kernel.end(kernel.bodies[rid], "PASS")
+        return ready()
+    until(look)
+
+
+@pytest.mark.parametrize("notice", [False, True])
+@pytest.mark.parametrize("at", [1, 4, 5, 40, -1])
+def test_a_request_cut_at_any_byte_is_whole_once_its_last_byte_came(tmp_path: Path, at: int, notice: bool) -> None:
+    with tile(tmp_path) as running:
+        client = Client(running.ports[0])
+        assert client.answer(client.say("ping", full=False))
+        fields = {"method": "order", "rid": "ab" * 8, "t0": str(int(time.time() * 1000)), "mem": "20.0"}
+        frame = encode("invoke", 1, 7, idl.Front.invoke_args(fields=fields, body=b"in two"))
+        client.sock.sendall(frame[:at])
+        if notice:
+            running.process.terminate()
+            until(lambda: client.told)
+        else:
+            other = Client(running.ports[0])
+            assert other.ask("fetch", b"meanwhile")[0] == "success"
+        client.sock.sendall(frame[at:])
+        assert client.answer(7)[0] == "success" and running.kernel.by_body[b"in two"] == 1
+        assert running.stop() == 0 and client.count[7] == 1
+
+
+def test_a_reply_for_a_dropped_call_changes_nothing_that_comes_later(tmp_path: Path) -> None:
+    with tile(tmp_path) as running:
+        client = Client(running.ports[0])
+        running.store.script = ["slow"]  # its reply comes when nobody waits for it
+        seq = client.send("render", b"calls=1 dropped")
+        until(lambda: running.store.calls)
+        client.say("abort", seqid=seq)
+        until(lambda: running.store.drops)
+        assert [client.ask("render", b"calls=2 later")[0] for _ in range(3)] == ["success"] * 3
+        replies = [reply for reply in running.kernel.replies if b"dropped" in reply]
+        assert not replies and len(running.kernel.replies) == 6
