--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -140,6 +140,7 @@
     gevent.sleep(0)  # what came before is carried out
     if core.draining:  # told to leave before anybody could reach it: nothing was read, nothing is owed
         log.info("told to leave at the start")
+        ignore(lambda: [watcher.cancel() for watcher in watchers])
         if fleet is not None:
             fleet.close()
         return 0
