Take nothing that is read behind our own close of a client's connection

Seen: an order whose bytes came between the look at an idle connection and its close ran, its answer went to a closed outbox, and its client's second sending ran it again (by_body 2). A link closed for an outbox that overflowed read on in what was received. At fault: thrift.Link.read and ajp.Link.read looked before a frame was read, not after, and not at outbox.closed. Ruled out: requests at the flush (barred by Process.may_start), the poll in Listener._free (it sees all that came). A client's end behind our close had no row in the connection's table (counted as impossible, harmless). Test failed without the fix (runs 2 instead of 1; two taken instead of none), passes with it.

--- a/myrtlespar/attempt/connection.py
+++ b/myrtlespar/attempt/connection.py
@@ -61,6 +61,7 @@
     (Conn.ENDING, Be.LAST_ANSWERED): Row(Conn.CLOSED, (Do.FINISH,)),
     (Conn.ENDING, Be.CLOSE): Row(Conn.ENDING),
     (Conn.ENDING, Be.RESET): Row(Conn.CLOSED, (Do.GONE,)),
+    (Conn.CLOSED, Be.SPOILT): Row(Conn.CLOSED),  # the other side's end, or a part of something, behind our close
     (Conn.CLOSED, Be.CLOSE): Row(Conn.CLOSED),
     (Conn.CLOSED, Be.END): Row(Conn.CLOSED),
     (Conn.CLOSED, Be.RESET): Row(Conn.CLOSED),
--- a/myrtlespar/net/ajp.py
+++ b/myrtlespar/net/ajp.py
@@ -90,9 +90,12 @@
     def read(self) -> None:
         """Take packets until the connection ends; whoever still waits then is gone."""
         try:
-            while self.conn.reads and not self.outbox.ending:
-                before = self.bad
-                self._packet(self._next())
+            while self._takes():
+                packet, before = self._next(), self.bad
+                if not self._takes():  # it came while we closed, and could still be read
+                    self.core.counters.add("in.behind_close.ajp")
+                    break
+                self._packet(packet)
                 if self.bad == before:
                     self.bad = 0
                 elif self.bad >= self.limits.bad_most:  # guards the core's time against a flood
@@ -113,6 +116,10 @@
         self.outbox.close()
         self._be(Be.RESET)
 
+    def _takes(self) -> bool:
+        """Guards against running what crosses our close: its answer could not be sent."""
+        return self.conn.reads and not self.outbox.ending and not self.outbox.closed
+
     def _next(self) -> bytes:
         magic = self.reader.exactly(4)
         size = int.from_bytes(magic[2:], "big")
@@ -137,7 +144,7 @@
             if not self._allowed():
                 return
             body = self._body()
-        if body is not None and self.conn.reads:  # guards against taking what the leaving process can't answer
+        if body is not None and self._takes():
             self._submit(body)
 
     def _ping(self) -> None:
--- a/myrtlespar/net/thrift.py
+++ b/myrtlespar/net/thrift.py
@@ -101,13 +101,15 @@
     def read(self) -> None:
         """Take frames until the connection ends; whoever still waits then is gone."""
         try:
-            # Guards against running what crosses our close: its client sends it once more elsewhere.
-            while self.conn.reads and not self.outbox.ending:
+            while self._takes():
                 size = int.from_bytes(self.reader.exactly(4), "big")
                 if not 0 < size <= self.front.limits.frame_bytes:  # guards against a length that fills memory
                     raise BadMessage(f"frame of {size} bytes")
-                before = self.bad
-                self._frame(self.reader.exactly(size))
+                frame, before = self.reader.exactly(size), self.bad
+                if not self._takes():  # it came while we closed, and could still be read
+                    self.core.counters.add("in.behind_close.thrift")
+                    break
+                self._frame(frame)
                 if self.bad == before:
                     self.bad = 0
                 elif self.bad >= self.front.limits.bad_most:  # guards the core's time against a flood
@@ -129,6 +131,11 @@
         self.outbox.close()
         self._be(Be.RESET)
 
+    def _takes(self) -> bool:
+        """Guards against running what crosses our close: its answer could not be sent, and its client sends it once
+        more elsewhere."""
+        return self.conn.reads and not self.outbox.ending and not self.outbox.closed
+
     def _frame(self, frame: bytes) -> None:
         self.used = unix_ms()
         self.messages += 1
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,65 @@
+"""What comes in the moment in which the program closes a connection. docs/crossings.md lists the crossings."""
+
+import socket
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from myrtlespar.counters import Counters
+from myrtlespar.limits import Limits
+from myrtlespar.net.thrift import Link
+from myrtlespar.net.thriftwire import encode, idl
+from myrtlespar.standins import Client, tile, until
+from tests.gates import Gate
+
+# So much other work of the loop stands in front of the word to the reader that its connection is shut: the
+# request that came is seen first.
+BUSY = "import gevent, time; [gevent.get_hub().loop.run_callback(*c) for c in [(time.sleep, 0.02)] + [(int,)] * 3000]"
+
+
+@pytest.mark.parametrize("why", ["room", "flush"])
+def test_a_request_that_comes_between_our_look_and_our_close_runs_once_where_it_is_sent_again(
+        tmp_path: Path, why: str) -> None:
+    """Its client sends it once more on another connection; read behind the close and run, it would run twice."""
+    gate = Gate(tmp_path, "myrtlespar.net.listener:Listener." + ("close_idle" if why == "room" else "end"), then=BUSY)
+    with tile(tmp_path, sockets=64, start=gate.start, given={"stop_ms": 1500}) as running:
+        clients = [Client(running.ports[0]) for _ in range(11)]  # all places
+        for client in clients:
+            assert client.answer(client.say("ping", full=False))
+        if why == "room":
+            new = Client(running.ports[0])  # the first one, which is the idlest, goes for it
+        else:
+            running.process.terminate()
+        gate.reached(running)
+        seq = clients[0].send("order", b"crosses")
+        gate.open()
+        assert clients[0].ended.wait(20) and seq not in clients[0].answers
+        if why == "room":
+            assert new.ask("order", b"crosses")[0] == "success"
+            assert running.kernel.by_body[b"crosses"] == 1
+            assert running.counters()["in.behind_close.thrift"] == 1
+        else:
+            assert running.process.wait(20) == 0 and not running.kernel.by_body
+        counts = until(lambda: running.event("counters"))
+        assert not [name for name in counts if name.startswith("impossible")], counts
+
+
+@pytest.mark.parametrize("how", ["close", "finish"])
+def test_what_lies_unread_behind_our_close_is_never_taken(how: str) -> None:
+    """As when a client that reads nothing has filled its outbox: its bytes can still be read then."""
+    taken: list[Any] = []
+    with socket.create_server(("127.0.0.1", 0)) as server, socket.create_connection(server.getsockname()) as client:
+        front: Any = SimpleNamespace(
+            limits=Limits(), serial=0, classes={"order": 0}, conclude=lambda link: None,
+            config=SimpleNamespace(thrift_key="", settings=SimpleNamespace(classes=[SimpleNamespace(effect=None)])),
+            core=SimpleNamespace(counters=Counters(), value=1.0, submit=taken.append, gone=taken.append))
+        with server.accept()[0] as sock:
+            link = Link(front, sock)
+            args = idl.Front.invoke_args(fields={"method": "order", "rid": "ab" * 8}, body=b"behind")
+            client.sendall(encode("invoke", 1, 1, args) * 2)
+            link.reader.line  # nothing of it is read yet
+            getattr(link.outbox, how)()
+            link.read()
+    assert not taken
