Leave an old kernel's address that a reload gave up while it was being reached

Seen: a reload between the connect to the kernel and its end leaves the link at the old address; an old kernel that accepts and says nothing keeps it there for good, as BOOTED may come late, and every request fails. Forced by holding the connect until Kernel.move was called. At fault: kernel._connect read the address once and the book was DOWN, where a move has no effect. Ruled out: moves in GREETING, REPLAYING, READY (the table closes the link), store (epochs) and roster (its next turn). Test failed without the fix (order failed), passes with it.

--- a/myrtlespar/net/kernel.py
+++ b/myrtlespar/net/kernel.py
@@ -114,7 +114,12 @@
             gevent.sleep(max(0.0, began + self.limits.reconnect_ms - unix_ms()) / 1000.0)
 
     def _connect(self) -> None:
-        sock = connect(self._address, self.limits.connect_ms)
+        address = self._address
+        sock = connect(address, self.limits.connect_ms)
+        if address != self._address:  # guards against staying at an address that a reload gave up meanwhile
+            self.core.counters.add("kernel.moved_meanwhile")
+            sock.close()
+            raise Closed("moved while it was reached")
         self.core.counters.add("kernel.link")
         self._link = link = Outbox(sock, self.limits.kernel_outbox, self.limits.send_ms)
         tasks = [gevent.spawn(self._watch, link), gevent.spawn(self._settle_doubts)]
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,5 +1,7 @@
 """What comes in the moment in which the program closes a connection. docs/crossings.md lists the crossings."""
 
+import json
+import signal
 import socket
 from pathlib import Path
 from types import SimpleNamespace
@@ -11,7 +13,7 @@
 from myrtlespar.limits import Limits
 from myrtlespar.net.thrift import Link
 from myrtlespar.net.thriftwire import encode, idl
-from myrtlespar.standins import Client, tile, until
+from myrtlespar.standins import Client, Kernel, tile, until
 from tests.gates import Gate
 
 # So much other work of the loop stands in front of the word to the reader that its connection is shut: the
@@ -63,3 +65,33 @@
             getattr(link.outbox, how)()
             link.read()
     assert not taken
+
+
+def test_a_move_while_the_old_kernel_is_being_reached_does_not_end_there(tmp_path: Path) -> None:
+    """The old address accepts and says nothing, as a kernel does that starts later."""
+    (tmp_path / "held.py").write_text("""import json, os, runpy, sys
+sys.path.insert(0, os.getcwd())
+import myrtlespar.net.kernel as kernel
+from gevent.event import Event
+moved, connect, move = Event(), kernel.connect, kernel.Kernel.move
+def held(*args):
+    sock = connect(*args)
+    print(json.dumps({"event": "connected"}), flush=True)
+    moved.wait()
+    return sock
+def told(*args):
+    move(*args)
+    moved.set()
+kernel.connect, kernel.Kernel.move = held, told
+sys.argv[:] = ["myrtlespar"]
+runpy.run_module("myrtlespar", run_name="__main__")
+""")
+    with tile(tmp_path, late_kernel=True, start=str(tmp_path / "held.py")) as running:
+        until(lambda: running.event("connected"))
+        old, running.kernel = running.kernel, Kernel()
+        running.config["kernel"] = running.kernel.address
+        running.path.write_text(json.dumps(running.config))
+        running.process.send_signal(signal.SIGHUP)
+        assert Client(running.ports[0]).ask("order", b"at the new address")[0] == "success"
+        assert not old.commands and running.stop() == 0
+        old.down()
