Report again soon after a failed report; no peer's answer ends a link's greenlet for good

Seen: with a list that hangs on the kept connection and on the new one after it, taken reports lay 3.008 s apart (a report each second, 0.9 s until one is given up): lapsed. An answer that asks for another protocol raised HttpParserUpgrade, no subclass of HttpParserError, and ended the roster's greenlet: never listed again. At fault: Roster.serve waited out the second after a failure, _report gave a hung kept connection all its time. Now: 0.4 s on a kept connection, 0.9 s on a new one at once, again after 0.2 s: two hangs running come to 2.5 s of the protocol's 3 s. Kernel, store and roster greenlets go on after a fault, which is counted. Tests (hangs twice, upgrade) failed without the fix, pass with it.

--- a/myrtlespar/limits.py
+++ b/myrtlespar/limits.py
@@ -38,8 +38,12 @@
     store_outbox: int = 65536  # unsent bytes of one connection
     store_look_ms: float = 20.0  # between looks for calls that are out of time
     store_grace_ms: float = 60.0  # past a call's time until it is taken for timed out
-    report_every_ms: float = 1000.0  # to the roster; it forgets after 3 s
-    report_ms: float = 900.0  # one report may take so long
+    # To the roster, which forgets 3 s after the last report it took. With these, a kept connection and the new one
+    # after it may both hang, and a third try still comes in time.
+    report_every_ms: float = 1000.0
+    report_kept_ms: float = 400.0  # one report may take so long on a connection that was kept
+    report_ms: float = 900.0  # and so long on a new one
+    report_again_ms: float = 200.0  # after one that failed
 
     # The operators' page on replacing a process: SIGKILL follows SIGTERM after the longest deadline, counted as the
     # first of these at most, and the second.
--- a/myrtlespar/net/roster.py
+++ b/myrtlespar/net/roster.py
@@ -53,43 +53,47 @@
             self._moved.set()
 
     def serve(self) -> None:
-        """Report for good; a roster that is down is tried again at the next turn."""
+        """Report for good. What failed is tried again soon: the list forgets us 3 s after the last report it took."""
         while True:
             began = unix_ms()
             if self._moved.is_set():
                 self._moved.clear()
                 self._close()
-            if self.kernel.up:
-                self.core.counters.add("roster.report" if self._report() else "roster.failed")
-            wait = self.limits.report_every_ms if self.kernel.up else self.limits.reconnect_ms
-            self._moved.wait(max(0.01, (began + wait - unix_ms()) / 1000.0))
+            if not self.kernel.up:
+                at = began + self.limits.reconnect_ms
+            elif self._report():
+                self.core.counters.add("roster.report")
+                at = began + self.limits.report_every_ms
+            else:
+                self.core.counters.add("roster.failed")
+                at = unix_ms() + self.limits.report_again_ms
+            self._moved.wait(max(0.01, (at - unix_ms()) / 1000.0))
 
     def _report(self) -> bool:
+        """One report. Guards against a kept connection that was closed or hangs: a new one has its try at once."""
         duty = "off" if self.core.draining else "on"
-        fresh = self._sock is None
+        if self._sock is not None and self._try(duty, self.limits.report_kept_ms):
+            return True
+        return self._try(duty, self.limits.report_ms)
+
+    def _try(self, duty: str, limit_ms: float) -> bool:
         try:
-            with gevent.Timeout(self.limits.report_ms / 1000.0, TimeoutError):
-                if self._send(duty):
-                    return True
-                return not fresh and self._send(duty)  # a kept connection may have been closed meanwhile
-        except (OSError, httptools.HttpParserError):
+            with gevent.Timeout(limit_ms / 1000.0, TimeoutError):
+                return self._send(duty)
+        except (OSError, httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._close()
             return False
 
     def _send(self, duty: str) -> bool:
-        try:
-            if self._sock is None:
-                self._sock = connect(self._address, self.limits.connect_ms)
-            self._sock.sendall(report(self.config.name, duty))
-            reply = Reply()
-            while not reply.done:
-                data = self._sock.recv(4096)
-                if not data:
-                    raise ConnectionResetError
-                reply.parser.feed_data(data)
-        except ConnectionError:
-            self._close()
-            return False
+        if self._sock is None:
+            self._sock = connect(self._address, self.limits.connect_ms)
+        self._sock.sendall(report(self.config.name, duty))
+        reply = Reply()
+        while not reply.done:
+            data = self._sock.recv(4096)
+            if not data:
+                raise ConnectionResetError
+            reply.parser.feed_data(data)
         if not reply.parser.should_keep_alive():
             self._close()
         return int(reply.parser.get_status_code()) == 204
--- a/myrtlespar/serve.py
+++ b/myrtlespar/serve.py
@@ -32,7 +32,7 @@
     from myrtlespar.fleet import Fleet
 
 log = structlog.get_logger()
-KEYS_LOOK_S = 0.05  # between looks for an old process's keys
+LOOK_S = 0.05  # between looks for an old process's keys, and before what failed goes on
 
 
 def serve(config: Config, early: Early) -> int:
@@ -148,7 +148,7 @@
         front.start()
     turns = gevent.spawn(core.run)
     for part in (kernel, store, roster):
-        gevent.spawn(part.serve)
+        gevent.spawn(_for_good, part, counters)
     log.info("serving", name=config.name, ports=[front.port for front in fronts], mgmt=mgmt.port if mgmt else None,
              calls_share=config.settings.calls_share, shared=config.settings.shared_dependency)
     gc.freeze()
@@ -182,6 +182,17 @@
     return 0
 
 
+def _for_good(part: Kernel | Store | Roster, counters: Counters) -> None:
+    """Guards against a link that nobody serves any longer: what a peer sent ends a turn of it, not the server side."""
+    while True:
+        try:
+            part.serve()
+        except Exception:
+            if counters.rare("serve.fault"):
+                log.exception("a link's greenlet failed", part=type(part).__name__)
+        gevent.sleep(LOOK_S)
+
+
 def _fleet(config: Config, core: Core, counters: Counters) -> Fleet:
     """The fleet's parts, imported only here."""
     from myrtlespar.fleet import open_fleet
@@ -201,7 +212,7 @@
 def _await_keys(core: Core, folder: Folder, successor: Successor) -> None:
     """Look for the old process's keys until they came or it is gone."""
     while successor.stand is Stand.WAITING:
-        gevent.sleep(KEYS_LOOK_S)
+        gevent.sleep(LOOK_S)
         _take_keys(core, folder, successor)
 
 
--- a/myrtlespar/standins/neighbours.py
+++ b/myrtlespar/standins/neighbours.py
@@ -148,7 +148,10 @@
         self.reports: list[tuple[str, Any]] = []
         self.latest: dict[str, float] = {}  # by name, by the monotonic clock
         self.times: list[float] = []  # of all reports
-        self.mode = ""  # "silent": reads and never answers; "down": ends each link; "cut inside": within its answer
+        self.taken: list[float] = []  # of those that were answered
+        self.hang = 0  # so many reports are not answered
+        self.mode = ""  # "silent": reads and never answers; "down": ends each link; "cut inside": within its answer;
+        # "upgrade": asks for another protocol
         super().__init__()
 
     def listed(self) -> list[str]:
@@ -171,5 +174,11 @@
             if self.mode == "cut inside":
                 link.sendall(b"HTTP/1.1 2")
                 return
-            if self.mode != "silent":
+            if self.mode == "upgrade":
+                link.sendall(b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n")
+                return
+            if self.hang:
+                self.hang -= 1
+            elif self.mode != "silent":
+                self.taken.append(self.times[-1])
                 link.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -278,10 +278,15 @@
         assert client.answer(seq)[0] == "failed" and client.count[seq] == 1
 
 
-@pytest.mark.parametrize("roster", ["silent", "down", "cut inside"])
+@pytest.mark.parametrize("roster", ["silent", "down", "cut inside", "upgrade", "hangs twice"])
 def test_a_list_that_goes_quiet_hears_of_us_in_time_once_it_listens(tmp_path: Path, roster: str) -> None:
     with tile(tmp_path) as running:
         until(lambda: running.roster.reports)
+        if roster == "hangs twice":  # on the connection that was kept, and on the new one after it
+            running.roster.hang, seen = 2, len(running.roster.taken)
+            until(lambda: len(running.roster.taken) > seen + 1)
+            assert max(b - a for a, b in itertools.pairwise(running.roster.taken)) < 3.0
+            return
         running.roster.mode = roster
         running.roster.cut()
         until(lambda: running.counters().get("roster.failed"))
