Begin the last answers of a drain as early as their number takes

Seen: 600 requests open and a stop_ms shorter than their deadline: the last of 600 answers went out 274 ms after a notice with a kill at 200 ms; with 5 ms an answer (a small share of a core) 300 answers did not fit before a kill at 2,000 ms: killed (-9), answers lost. Ruled out: the flush (bounded by half of the time left), the look at the stage. Now the time is kept back that the answers owed take, as measured on the last ones. Test failed without the fix (status -9), passes with it.

--- a/myrtlespar/attempt/desk.py
+++ b/myrtlespar/attempt/desk.py
@@ -134,7 +134,7 @@
     def sweep(self, now: float) -> list[Effect]:
         """Guards against anything that leaves a try open: a lost run, a policy that forgot it."""
         out: list[Effect] = []
-        end = self.process.answer_by()
+        end = self.process.answer_by(self.owed)
         for x in list(self.open.values()):
             if x.state in OWED:
                 slack = 0.0 if x.state == TRY_FOLLOWING else self.terms.overdue_ms
--- a/myrtlespar/attempt/process.py
+++ b/myrtlespar/attempt/process.py
@@ -79,6 +79,7 @@
         self.stop_ms, self.grace_ms, self.sweep_ms = stop_ms, grace_ms, sweep_ms
         self.flush_ms, self.crossing_ms = flush_ms, crossing_ms
         self.stage: int = Stage.SERVING
+        self.answer_ms = 0.0  # what the last answers took to hand over, one by one
         self.notice_at = self.kill_at = self.closed_at = float("inf")
 
     @property
@@ -125,6 +126,11 @@
         are left to the process that takes over."""
         return arrived <= self.notice_at + self.grace_ms and self.stage < FLUSHING
 
-    def answer_by(self) -> float:
-        """When all that is owed must be answered, whatever its own due time."""
-        return self.kill_at - self.sweep_ms
+    def reserve(self, owed: int) -> float:
+        """How long before the kill the last answers are begun. Guards them against being more than the time left
+        takes: a look may come a sweep late, and each answer takes its hand-over and as much again to decide on."""
+        return 2 * self.sweep_ms + 2 * self.answer_ms * owed
+
+    def answer_by(self, owed: int = 0) -> float:
+        """When so many that are owed must be answered, whatever their own due time."""
+        return self.kill_at - self.reserve(owed)
--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -33,6 +33,7 @@
 TELL_ARRIVAL, TELL_GONE, TELL_ENDED = Do.TELL_ARRIVAL, Do.TELL_GONE, Do.TELL_ENDED
 TELL_CALL_NEEDED, TELL_CALL_ENDED = Do.TELL_CALL_NEEDED, Do.TELL_CALL_ENDED
 HELD = Try.HELD
+ANSWER_LEARN = 1 / 16  # weight of the newest answer in what answers take: the time of one is noise
 
 
 def unix_ms() -> float:
@@ -149,7 +150,7 @@
         """Notice to leave. Whether clients are to be told."""
         acts = self.process.notice(unix_ms())
         if Act.TELL_POLICY in acts:
-            self._post(api.Drain(self.process.kill_at))
+            self._post(api.Drain(self.process.answer_by(self.desk.owed)))
         return Act.ASK_CLIENTS in acts
 
     def _post(self, event: api.Event | Exchange) -> None:
@@ -254,7 +255,9 @@
                 assert answer is not None
                 self.counters.add(f"answer.{answer.kind.value}.{exchange.front}")
                 self.ends[exchange.cls][ENDS[answer.kind]] += 1
+                began = unix_ms()
                 exchange.deliver(exchange, answer)
+                self.process.answer_ms += ANSWER_LEARN * (unix_ms() - began - self.process.answer_ms)
             elif do is TELL_ARRIVAL:
                 self._post(exchange)
             elif do is START_RUN:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import threading
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -13,7 +14,7 @@
 from myrtlespar.limits import Limits
 from myrtlespar.net.thrift import Link
 from myrtlespar.net.thriftwire import encode, idl
-from myrtlespar.standins import Client, Kernel, tile, until
+from myrtlespar.standins import Client, Kernel, settings, tile, until
 from tests.gates import Gate
 
 # So much other work of the loop stands in front of the word to the reader that its connection is shut: the
@@ -61,7 +62,6 @@
             link = Link(front, sock)
             args = idl.Front.invoke_args(fields={"method": "order", "rid": "ab" * 8}, body=b"behind")
             client.sendall(encode("invoke", 1, 1, args) * 2)
-            link.reader.line  # nothing of it is read yet
             getattr(link.outbox, how)()
             link.read()
     assert not taken
@@ -95,3 +95,33 @@
         assert Client(running.ports[0]).ask("order", b"at the new address")[0] == "success"
         assert not old.commands and running.stop() == 0
         old.down()
+
+
+def test_more_answers_than_the_last_moment_has_room_for_are_begun_in_time(tmp_path: Path) -> None:
+    """Each answer takes 5 ms to hand over, as with a small share of a core; the kill comes on time."""
+    (tmp_path / "slow.py").write_text("""import os, runpy, sys, time
+sys.path.insert(0, os.getcwd())
+from myrtlespar.net.thrift import Link
+answer = Link._answer
+def slow(*args):
+    end = time.perf_counter() + 0.005
+    while time.perf_counter() < end:
+        pass
+    answer(*args)
+Link._answer = slow
+sys.argv[:] = ["myrtlespar"]
+runpy.run_module("myrtlespar", run_name="__main__")
+""")
+    many = settings(classes=[{"name": "slow", "effect": "free", "aim_ms": 4000.0, "give_up_ms": 9000.0, "worth": 1.0}])
+    with tile(tmp_path, start=str(tmp_path / "slow.py"), given={"stop_ms": 2000, "settings": many}) as running:
+        clients = [Client(running.ports[0]) for _ in range(10)]
+        assert all(clients[0].ask("slow", b"ms=1")[0] == "success" for _ in range(30))
+        seqs = [(client, client.send("slow", b"ms=60000")) for client in clients for _ in range(30)]
+        for client in clients:
+            assert client.answer(client.say("ping", full=False))
+        kill = threading.Timer(2.0, running.process.kill)
+        running.process.terminate()
+        kill.start()
+        assert running.process.wait(20) == 0
+        kill.cancel()
+        assert all(client.ended.wait(20) and client.count[seq] == 1 for client, seq in seqs)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -50,7 +50,7 @@
     process = Process(stop_ms=10000.0, grace_ms=1000.0, sweep_ms=50.0, flush_ms=300.0, crossing_ms=50.0)
     assert process.handover(1000.0, 3700.0) == (Act.CLOSE_LISTENERS, Act.ASK_CLIENTS)
     assert process.stage == Stage.CROSSING and process.may_start(9000.0)  # no notice to drain: nothing barred
-    assert process.answer_by() == 1000.0 + 3700.0 - 50.0
+    assert process.answer_by() == 1000.0 + 3700.0 - 2 * 50.0  # a sweep may come one sweep late
     assert process.handover(1200.0, 3700.0) == () and process.kill_at == 4700.0
     assert process.look(1040.0, owed=0) == () and process.look(1060.0, owed=0) == (Act.FLUSH,)
 
