Read what has just come before a connection is ended for finishing no message

Seen: the rest of a request lay unread at the look that ended its connection for half a message: never answered. At fault: Listener._look asked only what had been read. Forced by a gate within the look; the test never got its answer without the fix, passes with it.

--- a/myrtlespar/net/links.py
+++ b/myrtlespar/net/links.py
@@ -146,7 +146,11 @@
 
     def pending(self) -> bool:
         """Whether something is here that nobody has asked for yet: bytes, or the connection's end."""
-        return self.begun() or bool(self._poll.poll(0))
+        return self.begun() or self.waits()
+
+    def waits(self) -> bool:
+        """Whether the socket has something to read, or its end."""
+        return bool(self._poll.poll(0))
 
     def begun(self) -> bool:
         """Whether part of something has been read."""
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -113,7 +113,8 @@
                     messages, waited = before.get(link, (link.messages, 0.0))
                     waited = waited + limits.idle_look_ms if messages == link.messages else 0.0
                     self._unfinished[link] = (link.messages, waited)
-                    if waited >= limits.message_ms:  # guards places against clients that finish no message
+                    # Guards places against clients that finish no message; what has just come is read first.
+                    if waited >= limits.message_ms and not link.reader.waits():
                         self.core.counters.add(f"in.unfinished.{self.name}")
                         del self._unfinished[link]
                         link.reader.stop()
--- a/tests/gates.py
+++ b/tests/gates.py
@@ -22,6 +22,7 @@
         {then}
     return old(*args)
 setattr(owner, name, held)
+{first}
 sys.argv[:] = ["myrtlespar"]
 runpy.run_module("myrtlespar", run_name="__main__")
 """
@@ -29,12 +30,12 @@
 
 class Gate:
     """`where` is MODULE:CLASS.METHOD; `when` an expression over its `args` that tells which call is held, once;
-    `then` a statement for the program to carry out behind the gate."""
+    `first` and `then` are statements for the program to carry out before its start and behind the gate."""
 
-    def __init__(self, tmp: Path, where: str, when: str = "True", then: str = "pass") -> None:
+    def __init__(self, tmp: Path, where: str, when: str = "True", first: str = "pass", then: str = "pass") -> None:
         self.go, self.start = str(tmp / "go"), str(tmp / "gated.py")
         os.mkfifo(self.go)
-        Path(self.start).write_text(START.format(where=where, when=when, go=self.go, then=then))
+        Path(self.start).write_text(START.format(where=where, when=when, go=self.go, first=first, then=then))
 
     def reached(self, server: Tile) -> None:
         """Wait until the program stands there, with all of its greenlets."""
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -49,6 +49,21 @@
         assert not [name for name in counts if name.startswith("impossible")], counts
 
 
+def test_a_request_whose_end_just_came_is_taken_though_its_time_is_over(tmp_path: Path) -> None:
+    gate = Gate(tmp_path, "myrtlespar.net.links:Reader.begun", "args[0]._data",
+                "import dataclasses, myrtlespar.config as c; f = c._limits\n"  # the first look is the last one
+                "c._limits = lambda *args: dataclasses.replace(f(*args), idle_look_ms=2500.0)")
+    with tile(tmp_path, start=gate.start) as running:
+        client = Client(running.ports[0])
+        assert client.answer(client.say("ping", full=False))
+        frame = encode("invoke", 1, 7, idl.Front.invoke_args(fields={"method": "order", "rid": "ab" * 8}, body=b"late"))
+        client.sock.sendall(frame[:9])
+        gate.reached(running)
+        client.sock.sendall(frame[9:])
+        gate.open()
+        assert client.answer(7)[0] == "success" and running.kernel.by_body[b"late"] == 1
+
+
 @pytest.mark.parametrize("how", ["close", "finish"])
 def test_what_lies_unread_behind_our_close_is_never_taken(how: str) -> None:
     """As when a client that reads nothing has filled its outbox: its bytes can still be read then."""
