--- a/myrtlespar/settings.py
+++ b/myrtlespar/settings.py
@@ -38,6 +38,28 @@
     return float(value)
 
 
+def _optional(table: Json, key: str, default: float, path: str) -> float:
+    """A number that may be absent, or null, which means the same."""
+    value = table.get(key)
+    return default if value is None else _number(value, path + key)
+
+
+def _list(table: Json, key: str, path: str) -> list[Any]:
+    """A list that may be absent."""
+    value = table.get(key)
+    if value is not None and not isinstance(value, list):
+        raise FaultySetting(f"{path}{key}: expected a list, got {value!r}"[:200])
+    return value or []
+
+
+def _table(table: Json, key: str) -> Json:
+    """A table that may be absent."""
+    value = table.get(key)
+    if value is not None and not isinstance(value, dict):
+        raise FaultySetting(f"{key}: expected a table, got {value!r}"[:200])
+    return value or {}
+
+
 def _effect(value: Any, name: str) -> api.Effect:
     if not isinstance(value, str) or value not in EFFECTS:
         raise FaultySetting(f"{name}: expected one of {', '.join(EFFECTS)}, got {value!r}"[:200])
@@ -49,29 +71,31 @@
     return api.RequestClass(
         aim_ms=_number(_require(row, "aim_ms", path), f"{path}aim_ms"),
         give_up_ms=_number(_require(row, "give_up_ms", path), f"{path}give_up_ms"),
-        worth=float(row.get("worth", 1.0)),
-        late_worth=float(row.get("late_worth", 0.0)),
+        worth=_optional(row, "worth", 1.0, path),
+        late_worth=_optional(row, "late_worth", 0.0, path),
         effect=_effect(_require(row, "effect", path), f"{path}effect"),
-        window_ms=_number(row.get("window_ms", 0.0), f"{path}window_ms"),
+        window_ms=_optional(row, "window_ms", 0.0, path),
         calls=bool(calls[index]) if index < len(calls) else False,
-        skip_worth=float(skips[index]) if index < len(skips) else 0.0,
+        skip_worth=_number(skips[index] or 0.0, f"family_info.degraded_worth[{index}]") if index < len(skips) else 0.0,
     )
 
 
 def _longest_advice(allow: Json) -> float:
-    return float(allow.get("max_retry_after_ms", 0.0)) if allow.get("retry_after", True) else 0.0
+    return _optional(allow, "max_retry_after_ms", 0.0, "permissions.") if allow.get("retry_after", True) else 0.0
 
 
 def read_settings(params: Json) -> api.Settings:
     """Turn the first message of an instance into the module's settings."""
-    info = _require(params, "family_info", "")
-    rules = _require(params, "invariants", "")
-    allow = params.get("permissions") or {}
-    for name, table in (("family_info", info), ("invariants", rules), ("permissions", allow)):
-        if not isinstance(table, dict):
-            raise FaultySetting(f"{name}: expected a table, got {table!r}"[:200])
-    calls = info.get("calls_by_class") or []
-    skips = info.get("degraded_worth") or []
+    _require(params, "family_info", "")
+    _require(params, "invariants", "")
+    info, rules = _table(params, "family_info"), _table(params, "invariants")
+    allow, clients = _table(params, "permissions"), _table(params, "clients")
+    calls, skips = _list(info, "calls_by_class", "family_info."), _list(info, "degraded_worth", "family_info.")
+    shares = _list(params, "projects", "")
+    for n, share in enumerate(shares):
+        if not isinstance(share, dict):
+            raise FaultySetting(f"projects[{n}]: expected a table, got {share!r}"[:200])
+    fields = "family_info."
     rows = _require(params, "classes", "")
     if not isinstance(rows, list) or not rows:
         raise FaultySetting(f"classes: expected at least one class, got {rows!r}"[:200])
@@ -79,35 +103,35 @@
         classes=[_class(row, i, calls, skips) for i, row in enumerate(rows)],
         cores=int(_number(_require(info, "cores", "family_info."), "family_info.cores")),
         memory_kb=_number(_require(info, "memory_kb", "family_info."), "family_info.memory_kb"),
-        tenant_quotas=[float(t.get("quota_rps", 0.0)) for t in params.get("projects") or []],
-        over_share_worth=float(params.get("over_share_worth", 1.0)),
-        servers=int(params.get("servers", 1)),
-        senders=int(info.get("senders", 1)),
-        tier=int(params.get("tier", 0)),
+        tenant_quotas=[_optional(share, "quota_rps", 0.0, f"projects[{n}].") for n, share in enumerate(shares)],
+        over_share_worth=_optional(params, "over_share_worth", 1.0, ""),
+        servers=int(_optional(params, "servers", 1, "")),
+        senders=int(_optional(info, "senders", 1, fields)),
+        tier=int(_optional(params, "tier", 0, "")),
         cold=bool(info.get("cold", False)),
-        cold_from=float(rules.get("cold_from", 1.0)),
-        warm_up_ms=float(rules.get("warm_up_ms", 0.0)),
+        cold_from=_optional(rules, "cold_from", 1.0, "invariants."),
+        warm_up_ms=_optional(rules, "warm_up_ms", 0.0, "invariants."),
         fall_multiple=_number(_require(rules, "fall_multiple", "invariants."), "invariants.fall_multiple"),
         fall_ms=_number(_require(rules, "fall_ms", "invariants."), "invariants.fall_ms"),
-        answer_slack_ms=float(rules.get("answer_slack_ms", 0.0)),
-        drain_grace_ms=float(rules.get("drain_grace_ms", 0.0)),
-        round_ms=float(params.get("round_ms", 1.0)),
-        run_memory_factor=float(info.get("blowup", 1.0)),
-        key_kb=float(info.get("key_kb", 0.0)),
+        answer_slack_ms=_optional(rules, "answer_slack_ms", 0.0, "invariants."),
+        drain_grace_ms=_optional(rules, "drain_grace_ms", 0.0, "invariants."),
+        round_ms=_optional(params, "round_ms", 1.0, ""),
+        run_memory_factor=_optional(info, "blowup", 1.0, fields),
+        key_kb=_optional(info, "key_kb", 0.0, fields),
         shared_dependency=info.get("below") == "one_for_all",
-        calls_share=float(info.get("calls_out", 0.0)),
-        calls_over_ms=float(info.get("calls_over_ms", 1000.0)),
-        linger_ms=float(info.get("linger_ms", 0.0)),
+        calls_share=_optional(info, "calls_out", 0.0, fields),
+        calls_over_ms=_optional(info, "calls_over_ms", 1000.0, fields),
+        linger_ms=_optional(info, "linger_ms", 0.0, fields),
         passes_deadline=bool(info.get("passes_deadline", False)),
         tells_gone=bool(info.get("tells_gone", False)),
         list_follows=bool(info.get("list_follows", False)),
         deep_checks=bool(info.get("deep_checks", False)),
-        signal=SIGNALS.get(info.get("signal", ""), api.Signal.NONE),
+        signal=SIGNALS.get(str(info.get("signal")), api.Signal.NONE),
         can_stop=info.get("halt") in STOPS,
-        marks_retries=bool((params.get("clients") or {}).get("marks_retry", False)),
+        marks_retries=bool(clients.get("marks_retry", False)),
         worth_by_work=params.get("worth_by") == "work",
-        heeded_ms=float(info.get("heeded_ms", 1000.0)),
-        caller_idle_ms=float(info.get("caller_idle_ms", 15000.0)),
+        heeded_ms=_optional(info, "heeded_ms", 1000.0, fields),
+        caller_idle_ms=_optional(info, "caller_idle_ms", 15000.0, fields),
         max_retry_after_ms=_longest_advice(allow),
-        gauges=list(info.get("gauges") or []),
+        gauges=_list(info, "gauges", fields),
     )
--- /dev/null
+++ b/tests/sites.py
@@ -0,0 +1,16 @@
+"""Settings of other customers, for tests on the real program."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from myrtlespar.standins import settings
+
+
+def classes(*rows: tuple[str, str, float]) -> dict[str, Any]:
+    """Settings with these classes: name, effect, time to give up; a window of 3 s."""
+    return settings(classes=[{"name": name, "effect": effect, "aim_ms": give_up_ms / 2, "give_up_ms": give_up_ms,
+                              "worth": 1.0, "window_ms": 3000.0} for name, effect, give_up_ms in rows])
+
+
+GUARDED = {"settings": classes(("tide", "free", 4000.0), ("booking", "guarded", 4000.0))}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,23 +9,13 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
 
 import pytest
 
-from myrtlespar.config import ConfigError, load
 from myrtlespar.net.thriftwire import encode, idl
-from myrtlespar.standins import Client, Tile, settings, tile, until
+from myrtlespar.standins import Client, Tile, tile, until
 from myrtlespar.standins.scripted import ScriptedKernel
-
-
-def classes(*rows: tuple[str, str, float]) -> dict[str, Any]:
-    """Settings with these classes: name, effect, time to give up; a window of 3 s."""
-    return settings(classes=[{"name": name, "effect": effect, "aim_ms": give_up_ms / 2, "give_up_ms": give_up_ms,
-                              "worth": 1.0, "window_ms": 3000.0} for name, effect, give_up_ms in rows])
-
-
-GUARDED = {"settings": classes(("tide", "free", 4000.0), ("booking", "guarded", 4000.0))}
+from tests.sites import GUARDED, classes
 
 
 @pytest.fixture
@@ -97,42 +87,6 @@
     assert not runs_of(kernel, b"seat 3") and server.counters()["in.no_token.thrift"] == 1
 
 
-@pytest.mark.parametrize(("change", "text"), [
-    ({"classes": []}, "settings.classes: expected at least one class"),
-    ({"classes": [{"name": "a", "effect": "odd", "aim_ms": 1, "give_up_ms": 2}]}, "settings.classes[0].effect: "),
-    ({"classes": [{"name": "a", "effect": "free", "aim_ms": "x", "give_up_ms": 2}]}, "settings.classes[0].aim_ms: "),
-    ({"classes": [{"name": "a", "effect": "free", "aim_ms": 1, "give_up_ms": 2}] * 2}, "settings.classes[1].name: "),
-    ({"classes": [7]}, "settings.classes[0]: "), ({"invariants": 7}, "settings.invariants: ")])
-def test_faulty_settings_are_one_line_that_names_the_key(tmp_path: Path, change: dict[str, Any], text: str) -> None:
-    path = write(tmp_path, settings=settings(**change))
-    with pytest.raises(ConfigError) as fault:
-        load({"BALANCER_CONFIG": path})
-    assert str(fault.value).startswith(text) and "\n" not in str(fault.value)
-
-
-@pytest.mark.parametrize(("given", "limits"), [
-    (GUARDED, {"memory_mb": 192, "sockets": 1024}), ({}, {"memory_mb": 8, "sockets": 24}),
-    ({"settings": classes(("één \"klasse\"", "guarded", 90.0))}, {"memory_mb": 30, "sockets": 64})])
-def test_valid_settings_of_others_never_lead_to_a_refusal(tmp_path: Path, given: dict[str, Any],
-                                                          limits: dict[str, int]) -> None:
-    config = load({"BALANCER_CONFIG": write(tmp_path, **given, limits=limits)})
-    assert 4 <= config.limits.connections < limits["sockets"] and config.limits.store_links >= 1
-    guarded = [n for n, kind in enumerate(config.settings.classes) if kind.window_ms]
-    assert not guarded or (config.limits.key_ms == 3000.0 and config.limits.keys >= 1)
-    with tile(tmp_path, given={**given, "limits": {**limits, "cores": 1.0}}) as running:
-        name = config.class_names[-1]
-        assert Client(running.ports[0]).ask(name, b"x", token="t")[0] == "success"
-        assert running.stop() == 0
-
-
-def write(tmp: Path, **given: Any) -> str:
-    """A configuration file with these keys."""
-    config = {"name": "n", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "store": "127.0.0.1:1",
-              "roster": "127.0.0.1:1", "settings": settings(), **given}
-    (tmp / "c.json").write_text(json.dumps(config))
-    return str(tmp / "c.json")
-
-
 @pytest.mark.parametrize("sent", ["SIGTERM", "SIGHUP", "SIGINT", "SIGUSR1"])
 @pytest.mark.parametrize("moment", ["early", "import", "config", "listen"])
 def test_a_signal_at_any_moment_of_the_start_neither_kills_nor_is_lost(tmp_path: Path, sent: str, moment: str) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,12 +1,9 @@
 """The real program on sockets, as the platform's neighbours see it."""
 
 import json
-import os
 import signal
 import socket
 import struct
-import subprocess
-import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -15,14 +12,13 @@
 import pytest
 
 from myrtlespar.attempt.tries import Try
-from myrtlespar.config import ConfigError, load
 from myrtlespar.core import Core
 from myrtlespar.counters import Counters
 from myrtlespar.exchange import Answer, Exchange, Kind
 from myrtlespar.interface import Outcome
 from myrtlespar.limits import Limits
 from myrtlespar.settings import read_settings
-from myrtlespar.standins import ROOT, Client, Store, Tile, exactly, settings, tile, until
+from myrtlespar.standins import Client, Store, Tile, exactly, settings, tile, until
 
 
 @pytest.fixture
@@ -349,19 +345,6 @@
     assert not thread.is_alive() and server.process.poll() is None
 
 
-@pytest.mark.parametrize(("key", "value", "text"), [
-    ("kernel", None, "kernel: missing"), ("listen", "nowhere", "listen: expected HOST:PORT"),
-    ("seed", "zz!", "seed:"), ("stop_ms", "soon", "stop_ms: expected a number"),
-    ("limits", {"sockets": 3}, "limits.sockets:"), ("settings", {}, "settings.family_info: missing")])
-def test_a_faulty_key_is_named_in_one_line(tmp_path: Path, key: str, value: object, text: str) -> None:
-    config = {"name": "n", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "store": "127.0.0.1:1",
-              "roster": "127.0.0.1:1", "settings": settings(), key: value}
-    (tmp_path / "c.json").write_text(json.dumps(config))
-    done = subprocess.run([sys.executable, "-m", "myrtlespar"], cwd=ROOT, capture_output=True, text=True,
-                          env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "c.json")}, check=False)
-    assert done.returncode == 2 and done.stderr.startswith(text) and done.stderr.count("\n") == 1
-
-
 def test_a_kernel_that_comes_late_is_waited_for(tmp_path: Path) -> None:
     with tile(tmp_path, late_kernel=True) as running:
         client = Client(running.ports[0])
@@ -394,43 +377,3 @@
     assert answers == [Kind.FAILED] and core.desk.owed == 0 and core.counters.report()["core.fault"] == 1
     core.ended("a", Outcome.OK, 1.0, Answer(Kind.SERVED))
     assert len(answers) == 1 and late.state == Try.OVER  # the first answer wins
-
-
-@pytest.mark.parametrize(("text", "complaint"), [
-    ('[ajp]\nlisten = "x"', "ajp.listen: expected HOST:PORT"),
-    ('[ajp]\nlissten = "127.0.0.1:1"', "ajp.lissten: unknown key"),
-    ('[[ajp.map]]\npath = "/a"\nclass = "moon"', "ajp.map[0].class: no class named 'moon'"),
-    ('[[ajp.map]]\npath = "/a"\nclass = "order"\nto = "w"', "ajp.map[0].to: no worker or balancer"),
-    ('[[ajp.map]]\npath = "/a"\nclass = "order"\nworth = 1', "ajp.map[0].worth: expected a number"),
-    ('[[worker]]\nname = "w"', "worker[0].address: missing"),
-    ('[[balancer]]\nname = "b"\nmembers = ["w"]', "balancer b.members: no worker named 'w'"),
-    ("[idempotency]\nmost = 0", "idempotency.most: expected a number"),
-    ("[", "MYRTLESPAR_OPERATOR: not TOML")])
-def test_a_faulty_key_of_the_operators_file_is_named(tmp_path: Path, text: str, complaint: str) -> None:
-    with pytest.raises(ConfigError) as error:
-        load(configured(tmp_path, text))
-    assert str(error.value).startswith(complaint) and "\n" not in str(error.value)
-
-
-def test_the_operators_example_is_read(tmp_path: Path) -> None:
-    config = load(configured(tmp_path, (ROOT / "deploy" / "ajp.toml").read_text()))
-    assert config.ajp.listen == ("127.0.0.1", 8009) and config.thrift_key == "idem"
-    assert [(rule.path, rule.to) for rule in config.ajp.maps][1] == ("/tiles/fetch", "viewers")
-
-
-@pytest.mark.parametrize(("limits", "places"), [
-    ({"sockets": 384, "memory_mb": 192}, 304), ({"sockets": 1024, "memory_mb": 32}, 426),
-    ({"sockets": 384, "memory_mb": 25}, 128)])
-def test_places_follow_descriptors_and_memory(tmp_path: Path, limits: dict[str, int], places: int) -> None:
-    env = configured(tmp_path, "")
-    path = tmp_path / "c.json"
-    path.write_text(json.dumps({**json.loads(path.read_text()), "limits": limits}))
-    assert load(env).limits.connections == places
-
-
-def configured(tmp: Path, operator: str) -> dict[str, str]:
-    config = {"name": "n", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "store": "127.0.0.1:1",
-              "roster": "127.0.0.1:1", "settings": settings()}
-    (tmp / "c.json").write_text(json.dumps(config))
-    (tmp / "o.toml").write_text(operator)
-    return {"BALANCER_CONFIG": str(tmp / "c.json"), "MYRTLESPAR_OPERATOR": str(tmp / "o.toml")}
