--- a/myrtlespar/standins/neighbours.py
+++ b/myrtlespar/standins/neighbours.py
@@ -29,6 +29,7 @@
         self.running: set[str] = set()
         self.link: socket.socket | None = None
         self.born, self.deaf, self.mute = time.time(), False, False
+        self.leaves = 0  # so many links are ended behind their greeting
         self.up = threading.Event()
         self.up.set()
         super().__init__()
@@ -51,6 +52,9 @@
         if not self.up.is_set():  # the link is accepted, the kernel starts later
             threading.Thread(target=self._open_later, args=(link, command), daemon=True).start()
             return
+        if self.leaves:
+            self.leaves -= 1
+            return self.cut(link)
         old, self.link = self.link, link
         if old is not None:
             self.cut(old)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,7 @@
 import pytest
 
 from myrtlespar.net.thriftwire import encode, idl
-from myrtlespar.standins import Client, Tile, tile, until
+from myrtlespar.standins import Client, Kernel, Tile, tile, until
 from myrtlespar.standins.scripted import ScriptedKernel
 from tests.sites import GUARDED, classes
 
@@ -134,6 +134,15 @@
         assert running.process.wait(20) == 0 and set(client.count.values()) == {1}
 
 
+def test_a_kernel_that_is_gone_again_before_its_first_word_is_reached_again(tmp_path: Path) -> None:
+    kernel = Kernel()
+    kernel.leaves = 3
+    with tile(tmp_path, kernel=kernel) as running:
+        client = Client(running.ports[0])
+        assert client.ask("order", b"held meanwhile")[0] == "success" and not kernel.leaves
+        assert kernel.by_body[b"held meanwhile"] == 1 and running.stop() == 0
+
+
 def test_a_client_that_closes_one_direction_gets_all_that_it_asked_for(
         scripted: tuple[Tile, ScriptedKernel, Client]) -> None:
     server, kernel, client = scripted
