Bound what one answer counts for in the time kept back at a drain's end

A pause of the machine within one hand-over of 500 ms would have counted for 31 ms an answer, and a drain with 30 owed would have failed them two seconds early. Found by reading; one sample counts for 5 ms at the most, so a pause moves the mean by 0.3 ms.

--- a/myrtlespar/core.py
+++ b/myrtlespar/core.py
@@ -34,6 +34,7 @@
 TELL_CALL_NEEDED, TELL_CALL_ENDED = Do.TELL_CALL_NEEDED, Do.TELL_CALL_ENDED
 HELD = Try.HELD
 ANSWER_LEARN = 1 / 16  # weight of the newest answer in what answers take: the time of one is noise
+ANSWER_MOST_MS = 5.0  # of one; an answer takes under 0.3 ms of a whole core
 
 
 def unix_ms() -> float:
@@ -257,7 +258,8 @@
                 self.ends[exchange.cls][ENDS[answer.kind]] += 1
                 began = unix_ms()
                 exchange.deliver(exchange, answer)
-                self.process.answer_ms += ANSWER_LEARN * (unix_ms() - began - self.process.answer_ms)
+                took = min(ANSWER_MOST_MS, unix_ms() - began)  # guards against a pause that falls into one of them
+                self.process.answer_ms += ANSWER_LEARN * (took - self.process.answer_ms)
             elif do is TELL_ARRIVAL:
                 self._post(exchange)
             elif do is START_RUN:
