Failing tests: a link to the engine that is well is closed after a standstill

What callers see: after the process stood still (SIGSTOP, a paused machine), the link to an engine that answers is closed. Every order on it is in doubt and fails at its due time if its start was not confirmed.

The gate holds the program at its request for gauges with nothing else asked; the engine's answer is held back until the program's loop has turned twice. A third test holds the watch to its purpose: a link without answers is replaced.

--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -203,3 +204,83 @@
         assert client.ask("order", b"ms=1")[0] == "success"
         assert client.ask("render", b"ms=1")[0] == "success"
         assert [row["t"] for row in running.engine.commands].count("OPEN") == 1
+
+
+SILENCE_TIMEOUT = """import dataclasses, myrtlespar.config.platform_file as c; f = c.size_limits
+c.size_limits = lambda *args: dataclasses.replace(f(*args), engine_silence_timeout_ms=%s)"""
+
+
+def test_an_engine_that_was_asked_only_when_the_process_woke_up_is_not_taken_for_silent(tmp_path: Path) -> None:
+    """The process stands still with nothing asked, and on waking asks for the gauges before it looks at the clock."""
+    gate = Gate(
+        tmp_path,
+        "myrtlespar.net.engine_client:EngineClient.request_gauges",
+        "args[0]._commands.is_synchronized and not args[0]._commands.pending_marks and args[0]._started_on_link",
+        SILENCE_TIMEOUT % 400.0,
+    )
+    with server_process(tmp_path, start=gate.start) as running:
+        client = ThriftClient(running.ports[0])
+        order = client.send("order", b"ms=1500")
+        gate.reached(running)
+        time.sleep(0.7)  # the standstill itself, over the timeout
+        with running.engine.lock:  # the answer comes only after the program has looked for it
+            gate.open()
+            running.counters()
+            counters = running.counters()  # each takes a turn of the program's loop: the watch has run
+        assert counters.get("kernel.silent", 0) == 0
+        assert client.answer(order)[0] == "success"
+        assert [row["t"] for row in running.engine.commands].count("OPEN") == 1
+        assert running.engine.by_body[b"ms=1500"] == 1
+
+
+class GaugelessEngine(FakeEngine):
+    """Answers no request for gauges while `ignores_gauges`, and counts those."""
+
+    ignores_gauges = False
+    ignored = 0
+
+    def sysinfo(self, link: socket.socket, command: dict[str, Any]) -> None:
+        if self.ignores_gauges:
+            self.ignored += 1
+        else:
+            super().sysinfo(link, command)
+
+
+def test_a_standstill_while_an_answer_is_on_its_way_is_not_taken_for_the_engines_silence(tmp_path: Path) -> None:
+    """Program and engine stand still together, as where the machine pauses, and the program wakes first."""
+    gate = Gate(tmp_path, "myrtlespar.net.engine_client:EngineClient.move", "False", SILENCE_TIMEOUT % 3000.0)
+    engine = GaugelessEngine()
+    with server_process(tmp_path, start=gate.start, engine=engine) as running:
+        client = ThriftClient(running.ports[0])
+        order = client.send("order", b"ms=500")
+        until(lambda: engine.by_body[b"ms=500"])
+        engine.ignores_gauges = True
+        until(lambda: engine.ignored)
+        running.process.send_signal(signal.SIGSTOP)
+        engine.mute = True  # as if it stood still as well
+        time.sleep(4.0)  # the standstill itself, over the timeout
+        running.process.send_signal(signal.SIGCONT)
+        running.counters()
+        counters = running.counters()  # each takes a turn of the program's loop: the watch has run
+        engine.mute = engine.ignores_gauges = False
+        assert counters.get("kernel.silent", 0) == 0
+        assert client.answer(order)[0] in ("success", "failed")
+        assert [row["t"] for row in engine.commands].count("OPEN") == 1
+
+
+def test_a_link_without_answers_is_replaced_once_the_timeout_is_over_and_not_before(tmp_path: Path) -> None:
+    gate = Gate(tmp_path, "myrtlespar.net.engine_client:EngineClient.move", "False", SILENCE_TIMEOUT % 400.0)
+    engine = GaugelessEngine()
+    with server_process(tmp_path, start=gate.start, engine=engine) as running:
+        client = ThriftClient(running.ports[0])
+        order = client.send("order", b"ms=2000")
+        until(lambda: engine.by_body[b"ms=2000"])
+        began = time.monotonic()
+        engine.ignores_gauges = True
+        until(lambda: [row["t"] for row in engine.commands].count("OPEN") == 2)
+        assert time.monotonic() - began > 0.3  # the last answer before it may have been on its way
+        engine.ignores_gauges = False
+        engine.cut(*engine.links)  # its first mark was ignored as well
+        assert client.answer(order)[0] == "success"
+        assert engine.by_body[b"ms=2000"] == 1
+        assert running.counters()["kernel.silent"] >= 1
