Engine link: count silence from the oldest request, and no standstill of our own

What callers saw: after a pause of the process a link that worked was closed; each run on it was in doubt, and an order whose start was not confirmed yet failed at its due time.

Cause: _close_if_silent took the time since the last notice for the engine's silence as soon as any mark was unanswered, so time in which nothing was asked, and time in which this process stood still, counted as the engine's.

SilenceWatch (pure) counts from the oldest unanswered mark, and one check period at most between two checks. Whatever the length of a pause, three checks of a running process have to find the same mark unanswered and nothing read. The check for bytes in the socket stays. The close is logged with the mark and the last notice's time.

--- a/myrtlespar/net/engine_client.py
+++ b/myrtlespar/net/engine_client.py
@@ -33,9 +33,11 @@
     WriteCommand,
 )
 from myrtlespar.state_machines.request_effects import NEVER_RAN
+from myrtlespar.state_machines.silence_watch import SilenceWatch
 
 log = structlog.get_logger()
 MAX_FAULT_CHARS = 200
+SILENCE_CHECKS = 3  # within the silence timeout
 
 
 class EngineClient:
@@ -197,14 +199,17 @@
     def _close_if_silent(self, link: Outbox, reader: SocketReader) -> None:
         """Close the link when it is dead without having ended.
 
-        It is not dead if answers came while this process stood still, and were not read yet.
+        It is not dead if this process stood still, or if answers came and were not read yet: each run on a link that
+        is closed for nothing is in doubt, and an order among them may fail.
         """
-        timeout_ms = self._limits.engine_silence_timeout_ms
+        period_ms = self._limits.engine_silence_timeout_ms / SILENCE_CHECKS
+        watch = SilenceWatch(self._limits.engine_silence_timeout_ms, period_ms)
         while True:
-            gevent.sleep(timeout_ms / 3000.0)
-            silent = self._commands.pending_marks and unix_ms() - self._last_notice_at > timeout_ms
+            gevent.sleep(period_ms / 1000.0)
+            silent = watch.check(unix_ms(), self._commands.oldest_mark, self._last_notice_at)
             if silent and not reader.is_readable():
                 self._coordinator.counters.add("kernel.silent")
+                log.warning("kernel silent", mark=self._commands.oldest_mark, heard_at=self._last_notice_at)
                 link.close()
 
     def _check_unconfirmed(self) -> None:
--- a/myrtlespar/state_machines/command_log.py
+++ b/myrtlespar/state_machines/command_log.py
@@ -122,6 +122,11 @@
         """Whether the greeting and all replayed notices have been read."""
         return self.state in (LINK_READY, LinkState.MOVING)
 
+    @property
+    def oldest_mark(self) -> str | None:
+        """The name of the oldest mark that was requested on this link and not received; None if there is none."""
+        return next(iter(self.pending_marks), None)
+
     # Requests of the server.
 
     def send(self, command: Command) -> list[LinkEffect]:
@@ -225,7 +230,7 @@
 
         Commands are read in order, so this concerns the oldest mark, and the rejection confirms as much as an answer.
         """
-        oldest = next(iter(self.pending_marks), None)
+        oldest = self.oldest_mark
         return [] if oldest is None else self.mark_received(oldest) or []
 
     # Steps.
--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -211,7 +211,12 @@
 
 
 def test_an_engine_that_was_asked_only_when_the_process_woke_up_is_not_taken_for_silent(tmp_path: Path) -> None:
-    """The process stands still with nothing asked, and on waking asks for the gauges before it looks at the clock."""
+    """After a standstill a link that was well was closed, and each run on it was in doubt.
+
+    On waking the program asked for the gauges, and the watch looked before the answer could come. It counted the
+    silence from the last notice, although nothing had been asked until then: at one close the notice was 495 ms old and
+    the only unanswered mark 0.4 ms. Seen here as `kernel.silent` 1 and a second OPEN.
+    """
     gate = Gate(
         tmp_path,
         "myrtlespar.net.engine_client:EngineClient.request_gauges",
@@ -247,7 +252,11 @@
 
 
 def test_a_standstill_while_an_answer_is_on_its_way_is_not_taken_for_the_engines_silence(tmp_path: Path) -> None:
-    """Program and engine stand still together, as where the machine pauses, and the program wakes first."""
+    """Program and engine stand still together, as where the machine pauses, and the program wakes first.
+
+    The watch counted the standstill as the engine's silence, and closed the link before the answer could come: seen as
+    `kernel.silent` 1 and a second OPEN.
+    """
     gate = Gate(tmp_path, "myrtlespar.net.engine_client:EngineClient.move", "False", SILENCE_TIMEOUT % 3000.0)
     engine = GaugelessEngine()
     with server_process(tmp_path, start=gate.start, engine=engine) as running:
