--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -293,3 +293,29 @@
         assert client.answer(order)[0] == "success"
         assert engine.by_body[b"ms=2000"] == 1
         assert running.counters()["kernel.silent"] >= 1
+
+
+def test_a_run_that_ends_at_the_old_engine_during_a_standstill_is_answered_after_a_move(tmp_path: Path) -> None:
+    """A standstill at a reload uses up the time to read the old link to its end.
+
+    The old link is closed on waking, but what lies in its socket unread is read all the same.
+    """
+    gate = Gate(tmp_path, "myrtlespar.net.registry_client:RegistryClient.move")
+    old = GaugelessEngine()
+    with server_process(tmp_path, start=gate.start, engine=old) as running:
+        client = ThriftClient(running.ports[0])
+        order = client.send("order", b"ms=300")
+        until(lambda: old.by_body[b"ms=300"])
+        old.ignores_gauges = True  # nor does it answer the last mark, which would end the link earlier
+        running.engine = FakeEngine()
+        running.config["kernel"] = running.engine.address
+        running.path.write_text(json.dumps(running.config))
+        running.process.send_signal(signal.SIGHUP)
+        gate.reached(running)
+        until(lambda: [row["t"] for row in old.notices].count("REAP"))
+        time.sleep(0.5)  # the standstill itself, over the time to read the old link to its end
+        gate.open()
+        assert client.answer(order)[0] == "success"
+        assert client.ask("order", b"at the new address")[0] == "success"
+        assert running.engine.by_body[b"at the new address"] == 1
+        old.down()
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
+import time
+
 import gevent
 from gevent import socket
 
@@ -27,3 +31,34 @@
         assert len(reader_and_writer[1].recv(4096, socket.MSG_WAITALL)) == 4096
     assert budget.used_bytes == 0
     assert not fast.closed
+
+
+def test_a_peer_that_reads_while_the_process_stands_still_loses_nothing() -> None:
+    """A standstill longer than the send timeout is not the peer's: gevent looks at sockets before its timeouts."""
+    ours, peer = socket.socketpair()
+    outbox = Outbox(ours, 4_000_000, 200.0)
+    messages = [bytes([number]) * 50_000 for number in range(60)]
+    for message in messages:
+        assert outbox.put(message)
+    gevent.sleep(0.05)  # the writer has filled the socket, and waits
+    received = bytearray()
+    time.sleep(0.5)  # no greenlet runs
+    with contextlib.suppress(BlockingIOError):  # the peer reads all there is meanwhile
+        while True:
+            received += os.read(peer.fileno(), 100_000)
+    gevent.sleep(0.02)  # some turns of the loop
+    assert not outbox.closed
+    while len(received) < sum(map(len, messages)):
+        received += peer.recv(100_000)
+    assert bytes(received) == b"".join(messages)
+
+
+def test_a_peer_that_never_reads_is_closed_after_the_send_timeout() -> None:
+    ours, _peer = socket.socketpair()
+    outbox = Outbox(ours, 4_000_000, 200.0)
+    outbox.put(b"x" * 3_000_000)
+    began = time.monotonic()
+    while not outbox.closed:
+        assert time.monotonic() - began < 5.0
+        gevent.sleep(0.01)
+    assert time.monotonic() - began >= 0.2
