Test of commands lost with a link: begin only once the link is in step

The engine went deaf between its greeting, which the test waited for, and the program's first mark. The mark was lost, so the link never came into step, and no command was sent on it: the fault under test never began. The test now waits for an answered request, which the link carries only in step; its checks are the same.

--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -60,8 +60,8 @@
 ) -> None:
     engine = LosingEngine()
     with server_process(tmp_path, engine=engine) as server:
-        until(lambda: server.event("kernel up"))
         client = ThriftClient(server.ports[0])
+        assert client.ask("fetch")[0] == "success"  # the link is in step: its first mark is not among what is lost
         with engine.lock:  # no command is being handled
             engine.deaf = True
         seq = client.send(method, b"lost")
