A run that breaks a fleet limit shows when each start was decided, written and read

What was missing: a broken limit said '21 of 20', and nothing told a start that was decided too early from one that was late on its way, or from a harness that stood still. Members of fleets with limits are traced now, and the trace has a line for each admission.

--- a/myrtlespar/fleet/limits_port.py
+++ b/myrtlespar/fleet/limits_port.py
@@ -77,6 +77,7 @@
         self._key_of = key_of
         self._request_limits = [limits_of(settings, name, CountedWork.RUNS) for name in classes]
         self._call_limits = [limits_of(settings, name, CountedWork.CALLS) for name in classes]
+        self.admission_observer: Callable[[str, float], None] | None = None  # id, age of the decision in ms; for traces
         self._waiting_calls: set[str] = set()  # requests whose call to the dependency found no capacity yet
         self._last_shortage = Shortage("", [], "", ADMITTED, 0)
 
@@ -108,6 +109,8 @@
                 return float("inf")
             return check.retry_after_ms
         self._count_admitted(applying)
+        if self.admission_observer is not None:
+            self.admission_observer(id, self.now() - now)
         return 0.0
 
     def enqueue(self, id: str, order: float) -> None:
--- a/myrtlespar/fleet_tests/limit_invariants.py
+++ b/myrtlespar/fleet_tests/limit_invariants.py
@@ -57,6 +57,7 @@
             "most": peak.count,
             "ratio": round(peak.count / allowed, 3),
             "started": started,
+            "most_at": peak.at,
         }
         if limit.counted_unit is CountedUnit.RATE and not limit.by:
             windows = max(1.0, (end - begin) / limit.window_ms)
--- a/myrtlespar/fleet_tests/member_files.py
+++ b/myrtlespar/fleet_tests/member_files.py
@@ -17,6 +17,7 @@
 STOP_MS = 2500  # of the graceful shutdown
 SEED_LIMIT = 2**64
 FLEET_NAME = "rehearsal"
+OPERATOR_FILE = "operator.toml"
 
 
 def write_server_config(folder: Path, name: str, number: int, port: int, seed: int) -> None:
@@ -33,6 +34,11 @@
     (folder / "config.json").write_text(json.dumps(config))
 
 
+def write_operator_file(folder: Path, traced: bool) -> None:
+    """The operator's file; a traced member logs every transition, and each admission under a limit of the fleet."""
+    (folder / OPERATOR_FILE).write_text(f"[trace]\ntransitions = {str(traced).lower()}\n")
+
+
 def write_fleet_file(
     folder: Path, name: str, numbers: Mapping[str, int], port: int, script: Script, changes: Mapping[str, Any]
 ) -> None:
--- a/myrtlespar/fleet_tests/process_launcher.py
+++ b/myrtlespar/fleet_tests/process_launcher.py
@@ -28,6 +28,7 @@
 from myrtlespar.fleet_tests.member_process import MemberProcess
 from myrtlespar.fleet_tests.observations import JOINING_EVENT, QUORUM_EVENT, Observation, observation_of
 from myrtlespar.fleet_tests.script_model import Script
+from myrtlespar.fleet_tests.standstills import StandstillMonitor
 
 SERVING_EVENT = "serving"
 LOG_POLL_S = 0.005
@@ -67,6 +68,7 @@
         self.observations: list[Observation] = []
         self.unplayed: list[str] = []  # steps of the script that could not be carried out, and why
         self.replaced = 0  # processes that were replaced and have ended
+        self.standstill_monitor = StandstillMonitor()
         self._lock = threading.Lock()
         self._lost: dict[int, list[str]] = {}  # members by the number of the event that lost them
         self.etcd = EtcdProcess() if script.engine else None
@@ -112,6 +114,7 @@
 
         RuntimeError if a process ended, AssertionError if it took too long.
         """
+        self.standstill_monitor.start()
         for member in self.members.values():
             member.process = self.spawn(member)
         for member in self.members.values():
@@ -136,6 +139,7 @@
             "BALANCER_MGMT": f"{bind_host(member.number)}:{self.port + 2 + second_address}",
             "MYRTLESPAR_FLEET": str(member.folder / "fleet.yaml"),
             "TMPDIR": str(member.folder),
+            "MYRTLESPAR_OPERATOR": str(member.folder / member_files.OPERATOR_FILE),
         }
         process = subprocess.Popen(
             [sys.executable, "-m", "myrtlespar"],
@@ -153,6 +157,7 @@
 
     def close(self) -> None:
         """End everything."""
+        self.standstill_monitor.stop()
         for member in self.members.values():
             for process in member.running_processes:
                 process.kill()
@@ -237,6 +242,7 @@
         for name, member in self.members.items():
             self.fault_proxy.ask(target=["kernel", name, member.engine.port])
             member_files.write_server_config(member.folder, name, member.number, self.port, self.seed)
+            member_files.write_operator_file(member.folder, traced=bool(self.script.limits))
             changes = {**tables, **own.get(name, {})}
             member_files.write_fleet_file(member.folder, name, numbers, self.port, self.script, changes)
 
--- a/myrtlespar/fleet_tests/runner.py
+++ b/myrtlespar/fleet_tests/runner.py
@@ -22,6 +22,7 @@
 from myrtlespar.fleet_tests.order_invariants import check_orders
 from myrtlespar.fleet_tests.process_launcher import FleetRun
 from myrtlespar.fleet_tests.script_model import Script, ScriptStep
+from myrtlespar.fleet_tests.start_times import report_broken_limits
 from myrtlespar.membership.settings import MembershipSettings
 from myrtlespar.quota.settings import GrantSettings
 
@@ -245,4 +246,10 @@
                 runs.append((body, at, float("inf") if ended is None else ended))
                 sites[body] = script.site_of(member.name)
     end = played.begin + played.length_ms
-    return check_limits(script.limits, runs, GrantSettings(**run.grants), played.begin, end, slack_ms, sites)
+    broken, limits = check_limits(script.limits, runs, GrantSettings(**run.grants), played.begin, end, slack_ms, sites)
+    if broken:
+        kept = report_broken_limits(
+            script.limits, limits, run.members.values(), run.folder, played.begin, run.standstill_monitor
+        )
+        broken.append(f"limits: logs and times of the starts are in {kept}")
+    return broken, limits
--- a/myrtlespar/runtime/tracing.py
+++ b/myrtlespar/runtime/tracing.py
@@ -1,4 +1,7 @@
-"""The optional trace of the state machines: one log line for each transition. It costs nothing while it is off."""
+"""The optional trace: one log line for each transition of a state machine, and for each admission under a fleet limit.
+
+It costs nothing while it is off.
+"""
 
 from __future__ import annotations
 
@@ -16,6 +19,11 @@
         table.observer = _log_transition
 
 
+def log_admission(request_id: str, age_ms: float) -> None:
+    """Log that a request was admitted under the fleet's limits, by a decision that is so old."""
+    log.info("admitted", id=request_id, age_ms=age_ms)
+
+
 def _log_transition(
     table: TransitionTable, machine_id: str, state: int, event: int, transition: Transition | None
 ) -> None:
--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -24,7 +24,7 @@
 from myrtlespar.request_coordinator import RequestCoordinator
 from myrtlespar.runtime.counters import Counters
 from myrtlespar.runtime.supervision import log_uncaught_exceptions, run_forever
-from myrtlespar.runtime.tracing import trace_to_log
+from myrtlespar.runtime.tracing import log_admission, trace_to_log
 
 if TYPE_CHECKING:  # imported at run time only where an operator enables the fleet
     from myrtlespar.fleet import FleetNode
@@ -172,4 +172,6 @@
     if fleet.limits is not None:
         coordinator.admin.extra_commands[b"LIMITS"] = fleet.limits.report
         coordinator.policy.fleet = fleet.limits.port
+        if config.trace:
+            fleet.limits.port.admission_observer = log_admission
     return fleet
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -42,7 +42,7 @@
 
 def most_in_a_window(engine: FakeEngine) -> int:
     """The most runs that began within one window, less the slack."""
-    begins = sorted(begin for _, begin, _ in engine.runs)
+    begins: list[float] = sorted(begin for _, begin, _ in engine.runs)
     return max(sum(first <= begin < first + WINDOW_MS - SLACK_MS for begin in begins) for first in begins)
 
 
