Fake engine: a test begins once the link is in step, not at the greeting

Cause: the fixture waited for the greeting; the test then made the engine mute or deaf, and the program's first mark, or the answer to it, was lost. Without it the link is never in step and sends no command, so the fault under test never began. The fixture now waits until the fake has answered that mark. The tests and their checks are as they were.

--- a/myrtlespar/fakes/server_process.py
+++ b/myrtlespar/fakes/server_process.py
@@ -128,7 +128,8 @@
             self.ports = serving["ports"]
             self.mgmt = serving.get("mgmt")
         if wait and not late_engine and engine is None:
-            until(lambda: self.event("kernel up"), "kernel link")
+            # Not the greeting alone: what a test loses on the link from then on would be the mark that follows it.
+            until(lambda: self.event("kernel up") and self.engine.is_in_step(), "kernel link")
 
     def _configuration(self, listen: str, sockets: int, mgmt: bool) -> dict[str, Any]:
         """The content of the platform's configuration file."""
--- a/myrtlespar/fakes/upstreams.py
+++ b/myrtlespar/fakes/upstreams.py
@@ -77,6 +77,11 @@
             if link is not None and not self.mute:
                 link.sendall(json.dumps(row).encode() + b"\n")
 
+    def is_in_step(self) -> bool:
+        """Whether a request for gauges was answered, as the first one is that brings a link into step."""
+        with self.lock:  # the answer is written under it
+            return any(command["t"] == "SYSINFO" for command in self.commands)
+
     def open(self, link: socket.socket, command: dict[str, Any]) -> None:
         """Greet a new connection, and repeat the notices that it has not seen. The connection before is closed."""
         if not self.up.is_set():  # the connection is accepted, the engine starts later
