Fleet limits: a change that comes too early is taken later, not refused for good

What operators and callers saw: a member that did not know yet that all had the present version refused a lowered limit, again at each attempt, and the fleet stayed at a third of the lower number (4 starts where 12 are allowed) for ever.

Cause: the refused change was forgotten; and leaders that had adopted the change no longer announced the version before as settled, while they waited for the member that needed to hear it. A standstill of 1.2 s as the load begins is enough to miss the announcement.

The member reads its file again once its version is settled; a leader whose version is not settled yet announces the one before, if it knew that to be settled. That all have taken a version stays true, so the announcement can't be too late.

--- a/myrtlespar/fleet/limits_driver.py
+++ b/myrtlespar/fleet/limits_driver.py
@@ -49,12 +49,19 @@
         counters: Counters,
         seed: int,
         key_of: Callable[[str], str] = lambda id: "",
+        reload: Callable[[], None] = lambda: None,
     ) -> None:
-        """`key_of` returns the idempotency key of a request's id. ConfigError if the budget file can't be used."""
+        """Create the driver without a coordinator.
+
+        `key_of` returns the idempotency key of a request's id. `reload` reads the fleet's file again; it is called once
+        a change that came too early can be adopted. ConfigError if the budget file can't be used.
+        """
         self.settings = settings
         self.peers = peers
         self.counters = counters
         self.clock_rate = settings.clock_rate
+        self._reload = reload
+        self._awaits_settling = False  # a change was rejected only because the present version is not settled
         self.coordinator: LimitCoordinator | None = None
         self.lease_source: LeaseSource | None = None
         self.port = FleetLimitsAdmission(settings, classes, counters, Random(seed), self.now, key_of)
@@ -120,6 +127,8 @@
         fault = limits_fault(self.settings, fresh)
         if not fault and self.coordinator is not None and not self.coordinator.grant_holder.settled:
             fault = f"limits_version: version {self.settings.limits_version} is not yet known to be taken by all"
+            # Nobody sends the change again, and all other members would wait for this one to adopt it.
+            self._awaits_settling = True
         if fault:
             self.counters.add("limits.change_refused")
             return fault
@@ -152,6 +161,9 @@
             coordinator.wall_offset_ms = self._wall_offset_ms(now)
             if coordinator.next_at() <= now:
                 self._apply_effects(coordinator.tick(now))
+            if self._awaits_settling and coordinator.grant_holder.settled:
+                self._awaits_settling = False
+                self._reload()
             gevent.sleep(max(MIN_TICK_S, (coordinator.next_at() - self.now()) / 1000.0))
 
     def _datagram_received(self, data: bytes, _: float) -> None:
--- a/myrtlespar/fleet/node.py
+++ b/myrtlespar/fleet/node.py
@@ -66,7 +66,7 @@
         if settings.limits or settings.repeats is not None:  # loaded only where some are set
             from myrtlespar.fleet.limits_driver import LimitsDriver
 
-            self.limits = LimitsDriver(settings, classes, self.peers, counters, seed, key_of)
+            self.limits = LimitsDriver(settings, classes, self.peers, counters, seed, key_of, self.reload)
         for scope in self.voter_set.even_scopes():
             log.warning("fleet: an even split leaves no majority", scope=scope or "fleet")
 
@@ -84,7 +84,8 @@
         """Read the fleet's file again.
 
         New numbers of limits are adopted first, then a new voter set if it is one step from the old one; all else needs
-        a restart. An invalid file, or limits that can't be adopted, change nothing. A voter set that can't be adopted
+        a restart. An invalid file, or limits that can't be adopted, change nothing; if the limits only come too early,
+        the file is read again once they can be adopted. A voter set that can't be adopted
         stays out, but limits of the same file have been adopted then. Each rejection is logged as an error.
         """
         try:
--- a/myrtlespar/quota/grant_exchange.py
+++ b/myrtlespar/quota/grant_exchange.py
@@ -72,7 +72,7 @@
             request.sequence_number,
             self._settings.grant_ms,
             tuple(amounts),
-            self._versions.version if self._versions.is_settled(now) else 0,
+            self._versions.settled_version(now),
         )
         self._outbox.send(now, sender.name, response)
 
--- a/myrtlespar/quota/limit_versions.py
+++ b/myrtlespar/quota/limit_versions.py
@@ -31,6 +31,7 @@
         self._grant_holder = grant_holder
         self._outbox = outbox
         self._voter_versions = {self_name: version}  # by voter, as far as this member leads a shard and hears of them
+        self._settled_before = 0  # the version before ours, if it was settled; otherwise 0
         self._all_adopted_at: float | None = None  # since when all voters are known to use our version or a later one
 
     def limit_of(self, key: str) -> Limit | None:
@@ -39,6 +40,7 @@
 
     def adopt(self, limits: Mapping[str, Limit], version: int) -> None:
         """Use a later version of the limits."""
+        self._settled_before = self.version if self._grant_holder.settled else 0
         self.limits = dict(limits)
         self.version = version
         self._voter_versions[self._self_name] = version
@@ -73,6 +75,14 @@
         """Use the present version alone: its shares no longer allow for members that use the previous one."""
         self._grant_holder.adopt_limits(self.limits, True)
 
+    def settled_version(self, now: float) -> int:
+        """Return the latest version that is known to be settled, to be announced to the holders; 0 if none is.
+
+        While ours is not, that is the one before. A member that missed its settling would otherwise never hear of it
+        again, and could never adopt the version that ours waits for it to adopt.
+        """
+        return self.version if self.is_settled(now) else self._settled_before
+
     def is_settled(self, now: float) -> bool:
         """Whether all voters have our version, and whatever was granted under an earlier one has ended."""
         if self._all_adopted_at is None:
--- a/tests/test_limits_driver.py
+++ b/tests/test_limits_driver.py
@@ -4,9 +4,15 @@
 
 from pathlib import Path
 
+import gevent
+
+from myrtlespar.fakes import until
 from myrtlespar.fleet.limits_driver import LimitsDriver
 from myrtlespar.fleet.limits_port import MAX_QUEUED_PER_CALLER
 from myrtlespar.fleet.settings import read_fleet
+from myrtlespar.quota.lease import Incarnation
+from myrtlespar.quota.limit_coordinator import LimitCoordinator
+from myrtlespar.quota.settings import GrantSettings, Limit
 from myrtlespar.runtime.counters import Counters
 
 
@@ -48,3 +54,58 @@
     assert [port.record_attempt(True) for _ in range(3)] == [True, True, False]
     assert not port.may_retry()
     driver.retire()
+
+
+def test_a_change_that_comes_before_the_present_version_is_settled_is_read_again_once_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "fleet.yaml"
+    text = (
+        "fleet: f\nsite: a\nname: a1\nbind: 127.0.0.1:7100\nelectorate: {version: 1, sites: {a: [a1, a2, a3]}}\n"
+        "limits_version: %d\nlimits: {x: {per_s: %d, before: 9}}\n"
+    )
+    path.write_text(text % (1, 9))
+    reloads: list[str] = []
+    driver = LimitsDriver(
+        read_fleet(str(path), "a1"),
+        ["order"],
+        DisconnectedTransport(),  # type: ignore[arg-type]
+        Counters(),
+        1,
+        reload=lambda: reloads.append(driver.adopt(read_fleet(str(path), "a1"))),
+    )
+    driver.start(1)
+    assert driver.coordinator is not None
+    path.write_text(text % (2, 6))
+    assert driver.adopt(read_fleet(str(path), "a1")).startswith("limits_version: version 1 is not yet known")
+    gevent.sleep(0.5)  # more than one turn of the clock of limits: nothing is read again before it is settled
+    assert not reloads
+    driver.coordinator.versions.settle()
+    until(lambda: gevent.sleep(0.01) or reloads)
+    assert reloads == [""]
+    assert driver.coordinator.version == 2
+    gevent.sleep(0.5)
+    assert reloads == [""]
+    driver.retire()
+
+
+def test_a_leader_still_announces_the_version_before_while_its_own_is_not_settled() -> None:
+    coordinator = LimitCoordinator(
+        Incarnation("a", 1), GrantSettings(), {"x": Limit(per_s=9.0)}, frozenset(("a", "b")), 0.0
+    )
+    versions = coordinator.versions
+    assert versions.settled_version(0.0) == 0
+    versions.record(0.0, "b", 1)
+    later = versions.longest_grant_wait_ms()
+    assert versions.settled_version(later) == 1
+    versions.settle_if_due(later)
+    coordinator.adopt_limits(later, {"x": Limit(per_s=6.0, before=9.0)}, 2)
+    assert versions.settled_version(later) == 1
+    versions.record(later, "b", 2)
+    assert versions.settled_version(3 * later) == 2
+
+
+def test_a_leader_that_never_knew_a_version_settled_announces_none_after_the_next() -> None:
+    coordinator = LimitCoordinator(
+        Incarnation("a", 1), GrantSettings(), {"x": Limit(per_s=9.0)}, frozenset(("a", "b")), 0.0
+    )
+    coordinator.adopt_limits(100.0, {"x": Limit(per_s=6.0, before=9.0)}, 2)
+    assert coordinator.versions.settled_version(100.0) == 0
