A broken fleet limit shows what held commands up between members and fake engines

It now has the relay's own stalls (of its loop, and of each stream), the longest wait for the lock of each fake engine, and the change of the system's TCP timeouts, retransmits and drops over the run.

--- a/benchmarks/fleet_change.py
+++ b/benchmarks/fleet_change.py
@@ -156,10 +156,8 @@
         broken += [f"{label}: {line}" for line in lines]
         most[label] = figures["most"]
         if lines:
-            run = fleet.run
-            limits = {LIMIT_NAME: Limit(per_s=amount, cls="")}
             kept = report_broken_limits(
-                limits, {LIMIT_NAME: figures}, run.members.values(), run.folder, times.begin, run.standstill_monitor
+                {LIMIT_NAME: Limit(per_s=amount)}, {LIMIT_NAME: figures}, fleet.run, times.begin
             )
             broken.append(f"{label}: logs and times of the starts are in {kept}")
     between = [row for row in starts if times.changed_at + lowering_ms <= row[1] < times.changed_last_at]
--- a/myrtlespar/fakes/upstreams.py
+++ b/myrtlespar/fakes/upstreams.py
@@ -34,6 +34,7 @@
         replies: The replies to calls, in the order of their arrival.
         waits: By request id, what a run waits for during a call.
         running: The ids of the requests that run.
+        longest_wait_ms: The longest time from the reading of a command to its handling.
         link: The present connection of the server.
         born: When this engine started, in Unix seconds.
         deaf: It reads commands and ignores them.
@@ -52,6 +53,7 @@
         self.replies: list[bytes] = []
         self.waits: dict[str, threading.Event] = {}
         self.running: set[str] = set()
+        self.longest_wait_ms = 0.0
         self.link: socket.socket | None = None
         self.born = time.time()
         self.deaf = False
@@ -64,8 +66,10 @@
     def serve(self, link: socket.socket) -> None:
         """Carry out commands, one JSON line each."""
         for line in link.makefile("rb"):
+            read_at = time.time() * 1000
             command = json.loads(line)
             with self.lock:
+                self.longest_wait_ms = max(self.longest_wait_ms, time.time() * 1000 - read_at)
                 if self.deaf:
                     continue
                 self.commands.append(command)
--- a/myrtlespar/fault_proxy/relay.py
+++ b/myrtlespar/fault_proxy/relay.py
@@ -15,8 +15,9 @@
 import json
 import os
 import sys
+import time
 import zlib
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -36,6 +37,9 @@
 CUT_POLL_S = 0.01  # how often a stalled stream checks whether the cut is over
 RETRANSMIT_MS = 200.0  # a lost segment of a stream comes this much later
 MAX_STREAM_DROP = 0.9  # so that a segment arrives at last
+LOOP_CHECK_S = 0.005
+MIN_STALL_MS = 20.0  # shorter ones are not reported
+MAX_STALLS = 1000  # reported; older ones are dropped
 STREAM_END_S = 0.5  # for what is on its way in one direction after the end of the other
 
 
@@ -79,6 +83,7 @@
         self.targets: dict[tuple[str, str], int] = {}  # service and member ('' for all): a port on 127.0.0.1
         self.counts: Counter[str] = Counter()
         self.port = 0
+        self.stalls: deque[tuple[str, float, float]] = deque(maxlen=MAX_STALLS)  # what, begin and end in Unix ms
         self._random: dict[tuple[str, str], Random] = {}
         self._datagram_sockets: dict[str, socket.socket] = {}
 
@@ -103,8 +108,23 @@
         elif "target" in row:
             service, member, port = row["target"]
             self.targets[service, member] = port
+        elif "stalls" in row:
+            return {"done": True, "stalls": list(self.stalls)}
         return {"done": True, **self.counts}
 
+    def watch_loop(self) -> None:
+        """Record the times in which this process did not run; never returns."""
+        woke_at = time.time() * 1000
+        while True:
+            due_at = woke_at + LOOP_CHECK_S * 1000
+            gevent.sleep(LOOP_CHECK_S)
+            woke_at = time.time() * 1000
+            self._record_stall("relay", due_at, woke_at)
+
+    def _record_stall(self, what: str, begin: float, end: float) -> None:
+        if end - begin >= MIN_STALL_MS:
+            self.stalls.append((what, begin, end))
+
     def _listen(self, port: int) -> bool:
         """Bind all addresses at this port and start serving; false, with none bound, if one is in use."""
         listeners: list[Any] = []
@@ -224,7 +244,9 @@
         with contextlib.suppress(OSError):
             while data := read.recv(CHUNK_BYTES):
                 self._delay_segment(sender, recipient)
+                sent_at = time.time() * 1000
                 write.sendall(data)
+                self._record_stall(f"{sender} to {recipient}", sent_at, time.time() * 1000)
             self._delay_segment(sender, recipient)
             write.shutdown(socket.SHUT_WR)
 
@@ -237,6 +259,7 @@
     for service, port in first.get("services", {}).items():
         proxy.targets[service, ""] = port
     print(json.dumps({"port": proxy.open()}), flush=True)
+    gevent.spawn(proxy.watch_loop)
     for line in control:
         print(json.dumps(proxy.command(json.loads(line))), flush=True)
     return 0
--- a/myrtlespar/fleet_tests/helper_processes.py
+++ b/myrtlespar/fleet_tests/helper_processes.py
@@ -59,6 +59,10 @@
         row = {key: getattr(rule, key) for key in rule.__slots__}
         self.ask(on=number, rule={**row, "first": sorted(rule.first), "second": sorted(rule.second)})
 
+    def stalls(self) -> list[tuple[str, float, float]]:
+        """When the relay's process, or one of its streams, stood still: what, begin and end in Unix ms."""
+        return [(str(what), float(begin), float(end)) for what, begin, end in self.ask(stalls=True)["stalls"]]
+
     def off(self, number: int) -> None:
         """A rule ends."""
         self.ask(off=number)
--- a/myrtlespar/fleet_tests/process_launcher.py
+++ b/myrtlespar/fleet_tests/process_launcher.py
@@ -26,6 +26,7 @@
 from myrtlespar.fleet_tests.ground_truth import FaultAction
 from myrtlespar.fleet_tests.helper_processes import EtcdProcess, FaultProxyProcess
 from myrtlespar.fleet_tests.member_process import MemberProcess
+from myrtlespar.fleet_tests.network_counters import read_network_counters
 from myrtlespar.fleet_tests.observations import JOINING_EVENT, QUORUM_EVENT, Observation, observation_of
 from myrtlespar.fleet_tests.script_model import Script
 from myrtlespar.fleet_tests.standstills import StandstillMonitor
@@ -69,6 +70,7 @@
         self.unplayed: list[str] = []  # steps of the script that could not be carried out, and why
         self.replaced = 0  # processes that were replaced and have ended
         self.standstill_monitor = StandstillMonitor()
+        self.network_counters = read_network_counters()  # at the begin
         self._lock = threading.Lock()
         self._lost: dict[int, list[str]] = {}  # members by the number of the event that lost them
         self.etcd = EtcdProcess() if script.engine else None
@@ -109,6 +111,10 @@
         rows = (row for row in reversed(self.members[name].log) if row["event"] == QUORUM_EVENT and not row["scope"])
         return next((row["new"] for row in rows), None)
 
+    def stalls(self) -> list[tuple[str, float, float]]:
+        """When the relay, or one of its streams, stood still: what, begin and end in Unix ms."""
+        return self.fault_proxy.stalls()
+
     def start(self) -> None:
         """Start all members, and wait until each believes all others present.
 
--- a/myrtlespar/fleet_tests/runner.py
+++ b/myrtlespar/fleet_tests/runner.py
@@ -248,8 +248,6 @@
     end = played.begin + played.length_ms
     broken, limits = check_limits(script.limits, runs, GrantSettings(**run.grants), played.begin, end, slack_ms, sites)
     if broken:
-        kept = report_broken_limits(
-            script.limits, limits, run.members.values(), run.folder, played.begin, run.standstill_monitor
-        )
+        kept = report_broken_limits(script.limits, limits, run, played.begin)
         broken.append(f"limits: logs and times of the starts are in {kept}")
     return broken, limits
--- a/myrtlespar/fleet_tests/start_times.py
+++ b/myrtlespar/fleet_tests/start_times.py
@@ -15,9 +15,10 @@
 from dataclasses import dataclass
 from datetime import datetime
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from myrtlespar.fleet_tests.member_process import MemberProcess
+from myrtlespar.fleet_tests.network_counters import read_network_counters
 from myrtlespar.fleet_tests.standstills import StandstillMonitor
 from myrtlespar.quota.settings import Limit
 
@@ -25,10 +26,24 @@
 STEP_EVENT = "step"
 COMMAND_MACHINE = "command"
 SENT_STATE = "SENT"
+MAX_SHOWN_STALLS = 8
+MAX_SHOWN_DELAY_MS = 2000.0  # standstills so long before a window are shown as well
 TABLE_NAME = "start-times.txt"
 KEPT_PREFIX = "myrtlespar-broken-limit-"
 
 
+class ObservedRun(Protocol):
+    """What the report needs of a run of a fleet."""
+
+    members: dict[str, MemberProcess]
+    folder: Path
+    standstill_monitor: StandstillMonitor
+    network_counters: dict[str, int]  # at the begin
+
+    def stalls(self) -> list[tuple[str, float, float]]:
+        """When the relay, or one of its streams, stood still: what, begin and end in Unix ms."""
+
+
 @dataclass(frozen=True, slots=True)
 class StartTimes:
     """The times of one start, in Unix ms; None where nothing was logged."""
@@ -100,12 +115,26 @@
     for start in starts:
         if first_at < start.read_at <= last_at and start.body.startswith(prefix):
             lines.append(_table_line(start, begin))
-    longest = monitor.longest(first_at, last_at)
+    longest = monitor.longest(first_at - MAX_SHOWN_DELAY_MS, last_at)
     if longest is None:
-        lines.append("harness: no standstill in this window")
+        lines.append("harness: no standstill")
     else:
         at_s = (longest.begin - begin) / 1000
-        lines.append(f"harness: longest standstill in this window {longest.length_ms:.0f} ms, at {at_s:.3f} s")
+        lines.append(f"harness: longest standstill {longest.length_ms:.0f} ms, at {at_s:.3f} s")
+    return lines
+
+
+def way_lines(run: ObservedRun, begin: float) -> list[str]:
+    """What may have delayed commands between the members and the fake engines."""
+    stalls = sorted(run.stalls(), key=lambda stall: stall[1] - stall[2])[:MAX_SHOWN_STALLS]
+    lines = [f"{what}: stood still for {end - at:.0f} ms at {(at - begin) / 1000:.3f} s" for what, at, end in stalls]
+    waits = {name: max(engine.longest_wait_ms for engine in member.engines) for name, member in run.members.items()}
+    shown_waits = ", ".join(f"{name} {wait_ms:.0f}" for name, wait_ms in waits.items())
+    lines.append(f"fake engines, longest wait for their lock, ms: {shown_waits}")
+    before = run.network_counters
+    now = read_network_counters()
+    changes = (f"{name} {now[name] - before[name]}" for name in now if name in before)
+    lines.append("system's network counters, change over the run: " + ", ".join(changes))
     return lines
 
 
@@ -120,21 +149,17 @@
 
 
 def report_broken_limits(
-    limits: Mapping[str, Limit],
-    figures: Mapping[str, Mapping[str, Any]],
-    members: Iterable[MemberProcess],
-    folder: Path,
-    begin: float,
-    monitor: StandstillMonitor,
+    limits: Mapping[str, Limit], figures: Mapping[str, Mapping[str, Any]], run: ObservedRun, begin: float
 ) -> str:
     """Print the table of each limit's fullest window, keep it with the members' files, and return the folder's name."""
-    starts = start_times(members)
+    starts = start_times(run.members.values())
     lines: list[str] = []
     for name, limit in limits.items():
-        lines += table(name, limit, figures[name]["most_at"], begin, starts, monitor)
+        lines += table(name, limit, figures[name]["most_at"], begin, starts, run.standstill_monitor)
+    lines += way_lines(run, begin)
     print("\n".join(lines))
     kept = tempfile.mkdtemp(prefix=KEPT_PREFIX)
     with contextlib.suppress(shutil.Error, OSError):  # a file that a process has just removed
-        shutil.copytree(folder, kept, dirs_exist_ok=True)
+        shutil.copytree(run.folder, kept, dirs_exist_ok=True)
     (Path(kept) / TABLE_NAME).write_text("\n".join(lines) + "\n")
     return kept
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -12,6 +12,7 @@
 from myrtlespar.fakes import until
 from myrtlespar.fleet_tests.limit_invariants import check_limits
 from myrtlespar.fleet_tests.member_process import MemberProcess
+from myrtlespar.fleet_tests.network_counters import read_network_counters
 from myrtlespar.fleet_tests.standstills import StandstillMonitor
 from myrtlespar.fleet_tests.start_times import report_broken_limits, start_times
 from myrtlespar.quota.settings import GrantSettings, Limit
@@ -19,6 +20,19 @@
 BEGIN_MS = 1_700_000_000_000.0
 
 
+class RecordedRun:
+    """A run of one member, in which the relay held its commands up."""
+
+    def __init__(self, member: MemberProcess, folder: Path) -> None:
+        self.members = {member.name: member}
+        self.folder = folder
+        self.standstill_monitor = StandstillMonitor()
+        self.network_counters = read_network_counters()
+
+    def stalls(self) -> list[tuple[str, float, float]]:
+        return [("a1 to kernel", BEGIN_MS + 510.0, BEGIN_MS + 2310.0)]
+
+
 def iso(at_ms: float) -> str:
     return datetime.fromtimestamp(at_ms / 1000, UTC).isoformat()
 
@@ -51,16 +65,18 @@
         runs = [(body, at, ended) for body, at, ended in member.engine.runs]
         broken, figures = check_limits(limits, runs, GrantSettings(), BEGIN_MS, BEGIN_MS + 10_000, 250.0, {})
         assert broken
-        kept = Path(report_broken_limits(limits, figures, [member], tmp_path / "fleet", BEGIN_MS, StandstillMonitor()))
+        kept = Path(report_broken_limits(limits, figures, RecordedRun(member, tmp_path / "fleet"), BEGIN_MS))
     finally:
         member.engine.down()
     printed = capsys.readouterr().out
-    rows = [line.split() for line in printed.splitlines() if line.startswith("a1")]
+    rows = [line.split() for line in printed.splitlines() if line.startswith("a1   ")]
     assert [row[:5] for row in rows] == [
         ["a1", "0.500", "1900.0", "3.0", "1903.0"],
         ["a1", "2.500", "1.0", "1.0", "2.0"],
     ]
     assert "harness: no standstill" in printed
+    assert "a1 to kernel: stood still for 1800 ms at 0.510 s" in printed
+    assert "TCPTimeouts" in printed
     assert (kept / "a1" / "log.txt").read_text() == "lines of a1\n"
     assert (kept / "start-times.txt").read_text() == printed
 
