Relay of the test fleets: send small segments at once

What was seen: one start in a hundred reached the fake engine 40 to 45 ms after its write (median under 2 ms), which eats into the time that the checks of limits leave for the way.

Cause: the relay sent on with Nagle's algorithm, against the fake's delayed acknowledgement.

--- a/myrtlespar/fault_proxy/relay.py
+++ b/myrtlespar/fault_proxy/relay.py
@@ -205,6 +205,11 @@
             with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as onward:
                 onward.bind((route.source_host, 0))
                 onward.connect(route.target)
+                for sock in (
+                    accepted,
+                    onward,
+                ):  # otherwise a small segment waits for the acknowledgement of the last one
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 pumps = [
                     gevent.spawn(self._pump, route.sender, route.recipient, accepted, onward),
                     gevent.spawn(self._pump, route.recipient, route.sender, onward, accepted),
