Fleet reload: take the file whole, or reject it whole and name the key

What operators saw: a file with a voter set that can't follow changed the limits all the same; changed grants, repeats or addresses had no effect and no line; limits changed together with repeats were refused under the key grants.

Cause: the limits were adopted before the voter set was checked, and other keys were compared with nothing. Both are checked before either is adopted, in one turn without a switch, so nothing can come between; differing keys that need a restart are named.

--- a/myrtlespar/fleet/limits_driver.py
+++ b/myrtlespar/fleet/limits_driver.py
@@ -122,7 +122,21 @@
         Returns:
             Why it was rejected, beginning with the key; empty if it was adopted or is the present one.
         """
-        if fresh.limits == self.settings.limits and fresh.limits_version == self.settings.limits_version:
+        fault = self.change_fault(fresh)
+        if fault or not self._is_change(fresh):
+            return fault
+        self.settings = replace(self.settings, limits=fresh.limits, limits_version=fresh.limits_version)
+        if self.coordinator is not None:
+            self._apply_effects(self.coordinator.adopt_limits(self.now(), fresh.limits, fresh.limits_version))
+        log.info("fleet: limits taken over", version=fresh.limits_version)
+        return ""
+
+    def change_fault(self, fresh: FleetSettings) -> str:
+        """Return why a version of the limits can't be adopted, beginning with the key; empty if it can.
+
+        One that only comes too early is read again once it can be adopted.
+        """
+        if not self._is_change(fresh):
             return ""
         fault = limits_fault(self.settings, fresh)
         if not fault and self.coordinator is not None and not self.coordinator.grant_holder.settled:
@@ -131,12 +145,11 @@
             self._awaits_settling = True
         if fault:
             self.counters.add("limits.change_refused")
-            return fault
-        self.settings = replace(self.settings, limits=fresh.limits, limits_version=fresh.limits_version)
-        if self.coordinator is not None:
-            self._apply_effects(self.coordinator.adopt_limits(self.now(), fresh.limits, fresh.limits_version))
-        log.info("fleet: limits taken over", version=fresh.limits_version)
-        return ""
+        return fault
+
+    def _is_change(self, fresh: FleetSettings) -> bool:
+        present = self.settings
+        return (fresh.limits, fresh.limits_version) != (present.limits, present.limits_version)
 
     def set_present_members(self, names: frozenset[str]) -> None:
         """Set the other members that are alive or suspect in this member's view."""
--- a/myrtlespar/fleet/node.py
+++ b/myrtlespar/fleet/node.py
@@ -12,7 +12,7 @@
 
 from myrtlespar.config import Config, ConfigError
 from myrtlespar.fleet import member_report
-from myrtlespar.fleet.settings import FleetSettings, read_fleet
+from myrtlespar.fleet.settings import FleetSettings, keys_for_a_restart, read_fleet
 from myrtlespar.membership.member import Member
 from myrtlespar.membership.messages import CountEvent, MemberChanged, MemberState, QuorumChanged
 from myrtlespar.membership.quorum import QuorumStatus, VoterSet, voter_set_change_error
@@ -83,21 +83,26 @@
     def reload(self) -> None:
         """Read the fleet's file again.
 
-        New numbers of limits are adopted first, then a new voter set if it is one step from the old one; all else needs
-        a restart. An invalid file, or limits that can't be adopted, change nothing; if the limits only come too early,
-        the file is read again once they can be adopted. A voter set that can't be adopted
-        stays out, but limits of the same file have been adopted then. Each rejection is logged as an error.
+        New numbers of limits and a new voter set are adopted together, or neither of them: a member with the one and
+        without the other would count by a file that nobody wrote. The fault is logged as one error. If limits only come
+        too early, the file is read again once they can be adopted. All else needs a restart, and is named in the log.
         """
         try:
             fresh = read_fleet(self.path, self.settings.name)
         except ConfigError as error:
             log.error("fleet reload refused", error=str(error))
             return
+        fault = self._voter_set_fault(fresh.voter_set)
+        if not fault and self.limits is not None:
+            fault = self.limits.change_fault(fresh)
+        if fault:
+            log.error("fleet reload refused", error=fault)
+            return
+        keys = keys_for_a_restart(self.settings, fresh)
+        if keys:
+            log.warning("fleet: changes with a restart", keys=keys)
         if self.limits is not None:
-            fault = self.limits.adopt(fresh)
-            if fault:
-                log.error("fleet reload refused", error=fault)
-                return
+            self.limits.adopt(fresh)
         self._adopt_voter_set(fresh.voter_set)
 
     def members(self) -> bytes:
@@ -172,14 +177,17 @@
         elif effect.log_message and self.counters.count_and_sample(f"fleet.log.{effect.counter}"):
             log.warning("fleet: " + effect.log_message)
 
+    def _voter_set_fault(self, fresh: VoterSet) -> str:
+        """Return why a voter set can't be adopted, beginning with the key; empty if it can or is the present one."""
+        fault = "" if fresh == self.voter_set else voter_set_change_error(self.voter_set, fresh)
+        if not fault:
+            return ""
+        self.counters.add("fleet.roll_refused")
+        return f"electorate.{fault}"
+
     def _adopt_voter_set(self, fresh: VoterSet) -> None:
         if fresh == self.voter_set:
             return
-        fault = voter_set_change_error(self.voter_set, fresh)
-        if fault:
-            self.counters.add("fleet.roll_refused")
-            log.error("fleet reload refused", error=f"electorate.{fault}")
-            return
         self.voter_set = fresh
         if self.peers.member is not None:
             for effect in self.peers.member.adopt_voter_set(fresh, monotonic_ms()):
--- a/myrtlespar/fleet/settings.py
+++ b/myrtlespar/fleet/settings.py
@@ -29,6 +29,7 @@
 MIN_ENGINE_TIMEOUT_MS = 10
 MAX_LIMITS_VERSION = 2**40  # exclusive
 MAX_VOTER_SET_VERSION = 2**53  # exclusive
+KEYS_IN_SERVICE = frozenset(("limits", "limits_version", "electorate"))  # a reload adopts them
 
 
 class VoterSetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -206,8 +207,7 @@
 def limits_fault(old: FleetSettings, new: FleetSettings) -> str:
     """Return why these changes of limits can't be adopted without a restart, beginning with the key; empty if they can.
 
-    Only the numbers of limits may change, each with the present one as `before`, and the version grows by one. Changes
-    of other parts of the file are neither adopted nor reported.
+    Only the numbers of limits may change, each with the present one as `before`, and the version grows by one.
     """
     if new.limits_version != old.limits_version + 1:
         return (
@@ -221,11 +221,20 @@
         fault = _limit_fault(old.limits[name], limit)
         if fault:
             return f"limits.{name}{fault}"
-    if (new.grants, new.repeats) != (old.grants, old.repeats):
-        return "grants: changes with a restart"
+    for key in ("grants", "repeats"):
+        if getattr(new, key) != getattr(old, key):
+            return f"{key}: changes with a restart"
     return ""
 
 
+def keys_for_a_restart(old: FleetSettings, new: FleetSettings) -> list[str]:
+    """Return the keys that differ and are adopted with a restart only, sorted."""
+    keys = set(FleetSettings.__struct_fields__) - KEYS_IN_SERVICE
+    if not old.limits:  # limits come and go with a restart
+        keys.add("limits")
+    return sorted(key for key in keys if getattr(old, key) != getattr(new, key))
+
+
 def _limit_fault(old: Limit, new: Limit) -> str:
     """Return the same for one limit; the text is appended to the limit's name."""
     number = old.at_once if old.per_s is None else old.per_s
