--- a/myrtlespar/fleet/budget_writer.py
+++ b/myrtlespar/fleet/budget_writer.py
@@ -21,6 +21,7 @@
 from myrtlespar.runtime.counters import Counters
 
 log = structlog.get_logger()
+MAX_QUEUED_EFFECTS = 4096  # that wait for a write; the members repeat what is dropped
 
 
 class BudgetWriter:
@@ -53,6 +54,11 @@
             log.error("fleet: no budget is vouched for", error=str(error))
             self.path = None
 
+    @property
+    def queued(self) -> int:
+        """How many effects wait for the next write."""
+        return len(self._queued)
+
     def enqueue(self, effect: PersistThenSend) -> None:
         """Let `run` persist the journal and then complete this effect. Returns at once."""
         self._queued.append(effect)
