Budget writer: drop and count what can never be written, and bound what waits

What was seen: a member whose budget file can't be read at its take-over queued an effect for each request of a shard leader, for ever and uncounted; with a hanging disk likewise.

Cause: enqueue appended whether or not anything empties the list. The senders repeat what they still need, so dropping loses nothing that queueing would give.

--- a/myrtlespar/fleet/budget_writer.py
+++ b/myrtlespar/fleet/budget_writer.py
@@ -27,8 +27,8 @@
 class BudgetWriter:
     """Reads and writes the budget file of this member.
 
-    Without a path, or after a failed `reload`, nothing is written and no queued effect is completed: this member then
-    reserves no budget as a voter.
+    Without a path, or after a failed `reload`, nothing is written and each effect is dropped: this member then reserves
+    no budget as a voter.
     """
 
     def __init__(self, path: Path | None, counters: Counters) -> None:
@@ -60,7 +60,14 @@
         return len(self._queued)
 
     def enqueue(self, effect: PersistThenSend) -> None:
-        """Let `run` persist the journal and then complete this effect. Returns at once."""
+        """Let `run` persist the journal and then complete this effect. Returns at once.
+
+        It is dropped and counted if the file can't be used, or if too many wait: nothing would ever complete it, and
+        its sender repeats its request as long as it needs an answer.
+        """
+        if self.path is None or len(self._queued) >= MAX_QUEUED_EFFECTS:
+            self.counters.add("limits.unwritten")
+            return
         self._queued.append(effect)
         self._queued_some.set()
 
