Fleet limits port: whole names for request ids, classes and retries

The names of policy.fleet_port, whose interface the module implements. No change of behaviour; the tests of driver, late starts and the policy's port pass.

--- a/myrtlespar/fleet/limits_driver.py
+++ b/myrtlespar/fleet/limits_driver.py
@@ -48,7 +48,7 @@
         peers: PeerTransport,
         counters: Counters,
         seed: int,
-        key_of: Callable[[str], str] = lambda id: "",
+        key_of: Callable[[str], str] = lambda request_id: "",
         reload: Callable[[], None] = lambda: None,
     ) -> None:
         """Create the driver without a coordinator.
--- a/myrtlespar/fleet/limits_port.py
+++ b/myrtlespar/fleet/limits_port.py
@@ -90,7 +90,8 @@
         self._key_of = key_of
         self._request_limits = [limits_of(settings, name, CountedWork.RUNS) for name in classes]
         self._call_limits = [limits_of(settings, name, CountedWork.CALLS) for name in classes]
-        self.admission_observer: Callable[[str, float], None] | None = None  # id, age of the decision in ms; for traces
+        # Called with the id and the age of the decision in ms; for traces.
+        self.admission_observer: Callable[[str, float], None] | None = None
         self._waiting_calls: set[str] = set()  # requests whose call to the dependency found no capacity yet
         self._last_shortage = Shortage("", [], "", ADMITTED, 0)
         self._admitted_starts: dict[str, AdmittedStart] = {}  # by request
@@ -101,72 +102,72 @@
         self.admission_queue = AdmissionQueue(coordinator)
         self.call_queue = AdmissionQueue(coordinator)
 
-    def admit(self, id: str, cls: int, sender: int) -> float:
+    def admit(self, request_id: str, class_index: int, sender: int) -> float:
         """Take capacity for a request under every limit that applies to it.
 
         Returns 0 if it was admitted, otherwise the time in ms after which there may be capacity; infinity if its caller
         has too many queued requests, so that it is not worth queueing.
         """
-        applying = self._request_limits[cls]
+        applying = self._request_limits[class_index]
         if not applying:
             return 0.0
         now = self.now()
         queue = self.admission_queue
         if queue is None:
             return RETRY_AFTER_BEFORE_START_MS
-        keys = [self._key(name, limit, id, sender) for name, limit in applying]
-        key, check = queue.try_acquire(now, id, keys)
+        keys = [self._key(name, limit, request_id, sender) for name, limit in applying]
+        key, check = queue.try_acquire(now, request_id, keys)
         if key:
-            self._last_shortage = Shortage(id, keys, key, check, sender)
+            self._last_shortage = Shortage(request_id, keys, key, check, sender)
             if queue.waiting_by_caller[sender] >= MAX_QUEUED_PER_CALLER:
                 self.counters.add("limits.line_full")
                 return float("inf")
             return check.retry_after_ms
         self._count_admitted(applying)
-        self._admitted_starts[id] = AdmittedStart(keys, now)
-        self._trace_admission(id, now)
+        self._admitted_starts[request_id] = AdmittedStart(keys, now)
+        self._trace_admission(request_id, now)
         return 0.0
 
-    def confirm_start(self, id: str) -> bool:
+    def confirm_start(self, request_id: str) -> bool:
         """Confirm a request's admission right before its start is sent; false if it may not be sent.
 
         Between the decision and the send the process may have stood still, or the start may have waited for a link. A
         start that is sent a second time counts as another one.
         """
-        start = self._admitted_starts.get(id)
+        start = self._admitted_starts.get(request_id)
         if start is None or self.admission_queue is None:
             return True
         now = self.now()
         if start.was_sent or now - start.acquired_at > MAX_START_DELAY_MS:
             self.counters.add("limits.late_start")
-            if not self.admission_queue.reacquire(now, id, start.keys, start.acquired_at, start.was_sent):
+            if not self.admission_queue.reacquire(now, request_id, start.keys, start.acquired_at, start.was_sent):
                 self.counters.add("limits.late_start_refused")
                 return False
             start.acquired_at = now
-            self._trace_admission(id, now)
+            self._trace_admission(request_id, now)
         start.was_sent = True
         return True
 
-    def enqueue(self, id: str, order: float) -> None:
+    def enqueue(self, request_id: str, order: float) -> None:
         """Queue the request that `admit` has just found no capacity for; the lowest `order` goes first."""
         shortage = self._last_shortage
-        if self.admission_queue is not None and shortage.request_id == id:
+        if self.admission_queue is not None and shortage.request_id == request_id:
             self.counters.add("limits.held")
-            self.admission_queue.enqueue(id, order, shortage.keys, shortage.caller)
+            self.admission_queue.enqueue(request_id, order, shortage.keys, shortage.caller)
 
-    def reject(self, id: str, after_ms: float) -> float:
+    def reject(self, request_id: str, after_ms: float) -> float:
         """Record a rejection for lack of capacity.
 
         Returns the Retry-After time in ms: at random between once and twice `after_ms`, so that callers spread. For the
         request that `admit` rejected last, the time of that check replaces `after_ms`.
         """
         shortage = self._last_shortage
-        if id == shortage.request_id:
+        if request_id == shortage.request_id:
             after_ms = shortage.check.retry_after_ms
         if self.admission_queue is not None and self.coordinator is not None:
-            if id in self.admission_queue.waiting:  # it waited in the queue in vain
-                self._record_queued_rejection(id, self.coordinator, self.admission_queue)
-            elif id == shortage.request_id and shortage.key:
+            if request_id in self.admission_queue.waiting:  # it waited in the queue in vain
+                self._record_queued_rejection(request_id, self.coordinator, self.admission_queue)
+            elif request_id == shortage.request_id and shortage.key:
                 self._record_rejection(shortage.key, shortage.check, self.coordinator, self.admission_queue)
         return after_ms * (1 + self._random.random())
 
@@ -180,43 +181,43 @@
         queue = self.admission_queue
         return queue.next_ready_ms(self.now()) if queue is not None and queue.waiting else float("inf")
 
-    def release(self, id: str) -> None:
+    def release(self, request_id: str) -> None:
         """Release a request that has ended or been given up."""
-        self._waiting_calls.discard(id)
-        self._admitted_starts.pop(id, None)
+        self._waiting_calls.discard(request_id)
+        self._admitted_starts.pop(request_id, None)
         if self.admission_queue is not None:
-            self.admission_queue.release(id)
+            self.admission_queue.release(request_id)
 
-    def admit_call(self, id: str, cls: int) -> bool:
+    def admit_call(self, request_id: str, class_index: int) -> bool:
         """Take capacity for a request's call to the dependency under every limit on calls, if there is some."""
-        applying = self._call_limits[cls]
+        applying = self._call_limits[class_index]
         if not applying:
             return True
         if self.call_queue is None:
             return False
         now = self.now()
         self.call_queue.release_due(now)
-        keys = [self._key(name, limit, id, 0) for name, limit in applying]
-        key, _ = self.call_queue.try_acquire(now, id, keys, id in self._waiting_calls)
+        keys = [self._key(name, limit, request_id, 0) for name, limit in applying]
+        key, _ = self.call_queue.try_acquire(now, request_id, keys, request_id in self._waiting_calls)
         if key:
-            if id not in self._waiting_calls:
+            if request_id not in self._waiting_calls:
                 self.counters.add("limits.call_waits")
-                self._waiting_calls.add(id)
+                self._waiting_calls.add(request_id)
             return False
-        self._waiting_calls.discard(id)
+        self._waiting_calls.discard(request_id)
         self._count_admitted(applying)
         return True
 
-    def release_call(self, id: str, after_ms: float) -> None:
+    def release_call(self, request_id: str, after_ms: float) -> None:
         """Release a call that is over for this member; the dependency may go on with it for `after_ms`."""
         if self.call_queue is not None and after_ms > 0:
-            self.call_queue.release_after(self.now(), id, after_ms)
+            self.call_queue.release_after(self.now(), request_id, after_ms)
         elif self.call_queue is not None:
-            self.call_queue.release(id)
+            self.call_queue.release(request_id)
 
-    def record_attempt(self, again: bool) -> bool:
-        """Record a first attempt or a retry (`again`). Returns False if there is no budget for this retry."""
-        if self.retry_budget is None or self.retry_budget.record_attempt(again):
+    def record_attempt(self, is_retry: bool) -> bool:
+        """Record a first attempt or a retry (`is_retry`). Returns False if there is no budget for this retry."""
+        if self.retry_budget is None or self.retry_budget.record_attempt(is_retry):
             return True
         self.counters.add("limits.repeat_refused")
         return False
@@ -228,24 +229,24 @@
         self.counters.add("limits.repeat_not_offered")
         return False
 
-    def _key(self, name: str, limit: Limit, id: str, sender: int) -> str:
+    def _key(self, name: str, limit: Limit, request_id: str, sender: int) -> str:
         if not limit.by:
             return name
         if limit.by == "prefix":
-            return f"{name}/{caller_prefix(self._key_of(id), limit.until)}"
+            return f"{name}/{caller_prefix(self._key_of(request_id), limit.until)}"
         return f"{name}/{sender if limit.by == 'peer' else self._site}"
 
-    def _trace_admission(self, id: str, admitted_at: float) -> None:
+    def _trace_admission(self, request_id: str, admitted_at: float) -> None:
         if self.admission_observer is not None:
-            self.admission_observer(id, self.now() - admitted_at)
+            self.admission_observer(request_id, self.now() - admitted_at)
 
     def _count_admitted(self, applying: NamedLimits) -> None:
         for name, _ in applying:
             self.admitted[name] = self.admitted.get(name, 0) + 1
 
-    def _record_queued_rejection(self, id: str, coordinator: LimitCoordinator, queue: AdmissionQueue) -> None:
+    def _record_queued_rejection(self, request_id: str, coordinator: LimitCoordinator, queue: AdmissionQueue) -> None:
         now = self.now()
-        keys = queue.waiting[id].keys
+        keys = queue.waiting[request_id].keys
         exhausted = next((key for key in keys if coordinator.available(now, key) <= 0), keys[0])
         self._record_rejection(exhausted, coordinator.check_admission(now, exhausted, 0, True), coordinator, queue)
 
--- a/myrtlespar/fleet/node.py
+++ b/myrtlespar/fleet/node.py
@@ -39,7 +39,7 @@
         counters: Counters,
         seed: int,
         classes: Sequence[str] = (),
-        key_of: Callable[[str], str] = lambda id: "",
+        key_of: Callable[[str], str] = lambda request_id: "",
     ) -> None:
         """Create the parts without opening sockets.
 
