Failing tests: keys of orders are lost over replacements in a row and a failed start

What callers see: an order that ran and is sent again with its key runs a second time, if a third process starts after a second one that had its keys before the first one's end, or after a start that ended as the admin address was in use.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -259,3 +259,54 @@
             client = connect_when_listening(port)
             assert client.ask("booking", b"seat 1", token="t", again="1")[0] == "success"
         assert old.engine.by_body[b"seat 1"] == 1
+
+
+def test_a_third_process_waits_for_the_keys_of_the_second(tmp_path: Path, handover_folders: HandoverFolders) -> None:
+    """A process that took the keys while the one before it still held the lock never takes the lock itself.
+
+    The third process in a row then finds the lock free and no file, believes that nobody else runs, and starts an order
+    again that the second one has run and not handed over yet.
+    """
+    gate = Gate(
+        tmp_path, "myrtlespar.server.application:Application.close_fleet"
+    )  # behind the hand-over, before the end
+    third_folder = tmp_path / "third"
+    third_folder.mkdir()
+    shared = {"mgmt": True, "shared": handover_folders.shared, "operator": KEYS_ENABLED}
+    with server_process(handover_folders.old, start=gate.start, **shared) as old:
+        listen = f"127.0.0.1:{old.ports[0]}"
+        with server_process(handover_folders.new, listen=listen, **shared) as new:
+            old.process.terminate()
+            gate.reached(old)
+            until(lambda: new.event("hand-over taken: 0 keys"), "the keys received")
+            gate.open()
+            assert old.process.wait(10) == 0
+            assert ThriftClient(new.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+            with server_process(third_folder, listen=listen, **shared) as third:
+                assert third.event("an old process lives: keys wait for its hand-over") is not None
+                new.process.terminate()
+                assert new.process.wait(10) == 0
+                until(lambda: third.event("hand-over taken: 1 keys"), "the keys received")
+                assert ThriftClient(third.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+                assert third.engine.by_body[b"ms=5 once"] == 0
+
+
+def test_a_start_that_fails_at_the_admin_address_leaves_the_keys_for_the_next_one(
+    tmp_path: Path, handover_folders: HandoverFolders
+) -> None:
+    """Keys were read and their file removed before the admin address was bound: a start that ended there lost them."""
+    shared = {"shared": handover_folders.shared, "operator": KEYS_ENABLED}
+    with server_process(handover_folders.old, mgmt=True, **shared) as old:
+        assert ThriftClient(old.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        old.process.terminate()
+        assert old.process.wait(10) == 0
+    failing_folder = tmp_path / "failing"
+    failing_folder.mkdir()
+    with socket.create_server(("127.0.0.1", 0)) as holder:
+        taken = f"127.0.0.1:{holder.getsockname()[1]}"
+        with server_process(failing_folder, given={"mgmt": taken}, wait=False, **shared) as failing:
+            assert failing.process.wait(20) != 0
+    with server_process(handover_folders.new, mgmt=True, **shared) as new:
+        assert new.event("hand-over taken: 1 keys") is not None
+        assert ThriftClient(new.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        assert new.engine.by_body[b"ms=5 once"] == 0
