Key hand-over: a replacement takes the lock once the old process has ended

What callers saw: an order sent again with its key ran a second time at the third process in a row.

Cause: a replacement that had its keys while the old process still held the lock stopped looking, and never took the lock. The next process found it free and no file. It goes on now until it holds the lock; the lock is free as soon as the old process has ended, however it ends. 50 ms without a holder stay, and are named in the postmortem.

--- a/myrtlespar/handover/driver.py
+++ b/myrtlespar/handover/driver.py
@@ -15,6 +15,7 @@
 
 log = structlog.get_logger()
 POLL_INTERVAL_S = 0.05  # between two reads of the folder while an old process lives
+UNUSABLE_INTERVAL_S = 1.0  # between two attempts to take a lock that can't be opened
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +41,10 @@
 
     def start(self) -> None:
         """Import the keys that are there, or wait for them in a greenlet while an old process lives."""
-        if self._poll_folder():
-            return
-        self._coordinator.tracker.keys.awaiting_handover = True
-        log.info("an old process lives: keys wait for its hand-over")
-        gevent.spawn(self._wait_for_handover)
+        if not self._poll_folder():
+            self._coordinator.tracker.keys.awaiting_handover = True
+            log.info("an old process lives: keys wait for its hand-over")
+        gevent.spawn(self._wait_for_old_process)
 
     def publish_keys(self) -> None:
         """Write the outcomes of this process's keys for its replacement; a failure is logged and not raised."""
@@ -56,10 +56,28 @@
         except OSError as error:
             log.error("keys could not be left", error=str(error))
 
-    def _wait_for_handover(self) -> None:
+    def _wait_for_old_process(self) -> None:
+        """Wait for the keys, then take the lock once the old process has ended, so that a later process waits for ours.
+
+        The keys may come while the old process still holds the lock.
+        """
         while self._receiver.state is HandoverState.WAITING:
             gevent.sleep(POLL_INTERVAL_S)
             self._poll_folder()
+        while not self._try_to_lock():
+            pass
+
+    def _try_to_lock(self) -> bool:
+        """Return whether this process holds the lock; pause if not."""
+        try:
+            if self._folder.acquire_lock():
+                return True
+        except OSError as error:
+            self._count_unusable(error)
+            gevent.sleep(UNUSABLE_INTERVAL_S)
+        else:
+            gevent.sleep(POLL_INTERVAL_S)
+        return False
 
     def _poll_folder(self) -> bool:
         """Read the folder once and import what it holds.
@@ -100,6 +118,9 @@
             old_process_alive = not self._folder.acquire_lock()
             return FolderContent(self._folder.read_keys(), old_process_alive)
         except OSError as error:
-            if self._coordinator.counters.count_and_sample("handover.unusable"):
-                log.error("hand-over folder unusable", error=str(error))
+            self._count_unusable(error)
             return FolderContent(None, unix_ms() < self._started_at + self._coordinator.limits.idempotency_key_ms)
+
+    def _count_unusable(self, error: OSError) -> None:
+        if self._coordinator.counters.count_and_sample("handover.unusable"):
+            log.error("hand-over folder unusable", error=str(error))
