Start: read the previous process's keys last, when nothing can refuse the start

What callers saw: after a start that ended as the admin address was in use, an order sent again with its key ran a second time at the next process.

Cause: the keys were read, and their file removed, before the admin address was bound. Nothing that follows the reading in the constructor can fail for a reason from outside.

--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -37,7 +37,8 @@
     """The connected parts of one server process.
 
     The constructor creates the parts in the order of the start, binds the addresses of the fronts and of the admin
-    server, and begins to receive the keys of the previous process. No client connection is accepted before `start`.
+    server, and then begins to receive the keys of the previous process. No client connection is accepted before
+    `start`.
 
     Args:
         config: The configuration of this process.
@@ -61,8 +62,9 @@
         self._attach_clients()
         self.fronts = self._create_fronts(shutdown_requested)
         self.fleet = _open_fleet(config, self.coordinator, self.counters) if config.fleet else None
-        self.key_handover = self._start_key_handover()
         self.admin_server = self._start_admin_server(shutdown_requested)
+        # Last of all that can fail: reading the keys removes their file, and an end after that would lose them.
+        self.key_handover = self._start_key_handover()
         self.coordinator.close_idle = self._set_idle_timeout
         self._coordinator_greenlet: gevent.Greenlet | None = None
 
