What a member's engines ran is listed in one place

Found on reading the change once more: fleet_change had its own copy of the loop that the runner and fleet_limits have, over members, engines and runs, with infinity for a run that goes on. MemberProcess.runs serves all three.

--- a/benchmarks/fleet_change.py
+++ b/benchmarks/fleet_change.py
@@ -101,12 +101,7 @@
 
     def starts(self) -> list[Run]:
         """All runs that the engines began."""
-        return [
-            (body, at, float("inf") if done is None else done)
-            for member in self.run.members.values()
-            for engine in member.engines
-            for body, at, done in engine.runs
-        ]
+        return [row for member in self.run.members.values() for row in member.runs()]
 
     def _lower(self, names: list[str]) -> None:
         self.run.change_limits(names, 2, {LIMIT_NAME: {"per_s": AMOUNT_AFTER, "before": AMOUNT_BEFORE}})
--- a/benchmarks/fleet_limits.py
+++ b/benchmarks/fleet_limits.py
@@ -69,11 +69,7 @@
             time.sleep(3)  # until the first leases are granted
             wall = time.time() * 1000
             send_all_orders(run, per_s * over, seed)
-            runs = [
-                (body, at, end or float("inf"))
-                for member in run.members.values()
-                for body, at, end in member.engine.runs
-            ]
+            runs = [row for member in run.members.values() for row in member.runs()]
         finally:
             run.close()
 
--- a/myrtlespar/fleet_tests/member_process.py
+++ b/myrtlespar/fleet_tests/member_process.py
@@ -47,6 +47,14 @@
         """The newest line of this kind in its log."""
         return next((row for row in reversed(self.log) if row["event"] == event), None)
 
+    def runs(self) -> list[tuple[bytes, float, float]]:
+        """What all its engines ran: body, begin and end in Unix ms; the end is infinite while a run goes on."""
+        return [
+            (body, begin, float("inf") if end is None else end)
+            for engine in self.engines
+            for body, begin, end in list(engine.runs)
+        ]
+
     def replace_engine(self) -> None:
         """Go on with a fresh fake engine."""
         self.engine = FakeEngine()
--- a/myrtlespar/fleet_tests/runner.py
+++ b/myrtlespar/fleet_tests/runner.py
@@ -241,10 +241,9 @@
     runs = []
     sites = {}
     for member in run.members.values():
-        for engine in member.engines:
-            for body, at, ended in list(engine.runs):
-                runs.append((body, at, float("inf") if ended is None else ended))
-                sites[body] = script.site_of(member.name)
+        member_runs = member.runs()
+        runs += member_runs
+        sites.update(dict.fromkeys((body for body, _, _ in member_runs), script.site_of(member.name)))
     end = played.begin + played.length_ms
     broken, limits = check_limits(script.limits, runs, GrantSettings(**run.grants), played.begin, end, slack_ms, sites)
     if broken:
