--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the cases of the review share."""
