--- a/review/common/case.py
+++ b/review/common/case.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
+import random
 import shutil
 import signal
 import socket
@@ -18,6 +20,7 @@
 from typing import Any
 
 from myrtlespar.fakes.server_process import ServerProcess
+from myrtlespar.fakes.tcp_server import until
 from myrtlespar.fakes.upstreams import FakeEngine
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -26,6 +29,8 @@
 EXIT_NOT_RUN = 2
 VERDICTS = {EXIT_HELD: "the rule held", EXIT_BROKEN: "the rule was broken", EXIT_NOT_RUN: "the case could not run"}
 TIME_LIMIT_S = 110.0
+PORTS = range(20000, 30000)
+PORT_TRIES = 100
 
 
 class CaseNotRunError(Exception):
@@ -95,9 +100,12 @@
             engine=engine,
             operator=operator,
             command=("/bin/sh", "-c", command),
+            wait=False,
         )
-        self._servers.append((name, server))
+        self._servers.append((name, server))  # before any wait, so that `close` ends it in any case
         self.note(f"{name}: started, process {server.process.pid}, clients connect to {listen}")
+        server.mgmt = until(lambda: server.event("serving"), "the event serving").get("mgmt")
+        until(lambda: server.event("kernel up") and server.engine.has_answered_mark(), "the link to the kernel")
         return server
 
     def stop_as_the_platform(self, name: str, server: ServerProcess, kill_after_s: float) -> int:
@@ -135,9 +143,11 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return a loopback address with a port that is free now, below those that the system gives to connections."""
+    for port in random.sample(PORTS, PORT_TRIES):
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return f"127.0.0.1:{port}"
+    raise CaseNotRunError("no free port")
 
 
 def port_of(address: str) -> int:
