SIGTERM without a replacement drains within stop_ms, also with a management address

Cause: every SIGTERM with a management address was a hand-over, whose kill comes after the longest client timeout (3 s at most) and 0.7 s. stop_ms and the grace were not looked at; nothing told whether a replacement runs. Change: a replacement holds a shared flock on myrtlespar-NAME.replacement until it has the running process's lock. On SIGTERM server/termination.py hands over only while that lock is held; otherwise the process drains. With an unusable folder it drains and ends by the earlier of both kills. A drain notice behind a hand-over sets its deadlines. Why it works: the lock is held before STATUS says yes and released by the system with its process, so it says at the signal which of the platform's two kill times applies.

--- a/myrtlespar/handover/driver.py
+++ b/myrtlespar/handover/driver.py
@@ -7,7 +7,7 @@
 import gevent
 import structlog
 
-from myrtlespar.handover.folder import HandoverFolder
+from myrtlespar.handover.folder import HandoverFolder, ReplacementStatus
 from myrtlespar.handover.keys_file import answer_of, encode, key_outcomes
 from myrtlespar.handover.receiver import HandoverReceiver, HandoverState
 from myrtlespar.request_coordinator import RequestCoordinator
@@ -38,6 +38,7 @@
         self._folder = folder
         self._receiver = HandoverReceiver(HandoverState.WAITING)
         self._started_at = unix_ms()
+        self._ends = False  # whether this process was told to end; it replaces no other one then
 
     def start(self) -> None:
         """Import the keys that are available, or wait for them in a greenlet while an old process runs."""
@@ -46,6 +47,12 @@
             log.info("an old process lives: keys wait for its hand-over")
         gevent.spawn(self._wait_for_old_process)
 
+    def replacement_status(self) -> ReplacementStatus:
+        """Return whether another process has announced that it replaces this one, which was told to end."""
+        self._ends = True
+        self._folder.withdraw()
+        return self._folder.replacement_status()
+
     def publish_keys(self) -> None:
         """Write the outcomes of the idempotency keys for the replacement; a failure is logged and not raised."""
         rows = self._coordinator.tracker.keys_to_hand_over(unix_ms())
@@ -71,7 +78,7 @@
     def _try_to_lock(self) -> bool:
         """Return whether this process holds the lock now; if not, sleep before the next attempt."""
         try:
-            if self._folder.acquire_lock():
+            if self._acquire_lock():
                 return True
         except OSError as error:
             self._count_unusable(error)
@@ -80,6 +87,15 @@
             gevent.sleep(POLL_INTERVAL_S)
         return False
 
+    def _acquire_lock(self) -> bool:
+        """Return whether this process holds the lock now; until it does, it announces itself to the one that does."""
+        if self._folder.acquire_lock():
+            self._folder.withdraw()
+            return True
+        if not self._ends:
+            self._folder.announce()
+        return False
+
     def _poll_folder(self) -> bool:
         """Read the folder once and import the keys in it.
 
@@ -116,7 +132,7 @@
         """Read the folder; a failure is logged, counted, and treated as an old process that may still run."""
         try:
             # The lock is tried before the file is read, as an old process writes the file before it releases the lock.
-            old_process_alive = not self._folder.acquire_lock()
+            old_process_alive = not self._acquire_lock()
             return FolderContent(self._folder.read_keys(), old_process_alive)
         except OSError as error:
             self._count_unusable(error)
--- a/myrtlespar/handover/folder.py
+++ b/myrtlespar/handover/folder.py
@@ -1,8 +1,9 @@
 """The storage of a hand-over: the folder (`$TMPDIR`) that two processes of one server share.
 
-It contains a lock file that the running process locks, and the file of keys that an old process writes for its
-replacement. Every method except `remove_keys` may raise OSError: the folder can be missing or full, or contain
-something else under these names.
+It contains a lock file that the running process locks, a second one that a replacement locks for as long as it waits
+for the first, and the file of keys that an old process writes for its replacement. Every method except `remove_keys`,
+`withdraw` and `replacement_status` may raise OSError: the folder can be missing or full, or contain something else
+under these names.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import fcntl
 import os
 import stat
+from enum import Enum
 from hashlib import blake2b
 from pathlib import Path
 from urllib.parse import quote
@@ -21,33 +23,56 @@
 NO_DESCRIPTOR = -1
 
 
+class ReplacementStatus(Enum):
+    """Whether a replacement of this process runs beside it."""
+
+    ABSENT = "absent"
+    PRESENT = "present"
+    UNKNOWN = "unknown"  # the folder can't be used
+
+
 class HandoverFolder:
-    """The files `$TMPDIR/myrtlespar-NAME.lock` and `.keys` of the server NAME.
+    """The files `$TMPDIR/myrtlespar-NAME.lock`, `.replacement` and `.keys` of the server NAME.
 
-    The lock is an flock held until the process ends, so the operating system releases it even after a crash.
+    The locks are flocks, which the operating system releases at the end of their process, even after a crash. The
+    first one is exclusive and held until the process ends. The second one is shared by all waiting replacements.
     """
 
     def __init__(self, tmpdir: str, name: str) -> None:
         base = f"myrtlespar-{_file_name_part(name)}"
         self.lock_path = Path(tmpdir) / f"{base}.lock"
+        self.replacement_path = Path(tmpdir) / f"{base}.replacement"
         self.keys_path = Path(tmpdir) / f"{base}.keys"
         self._lock_descriptor = NO_DESCRIPTOR
+        self._announcement_descriptor = NO_DESCRIPTOR
 
     def acquire_lock(self) -> bool:
         """Take the lock without waiting. Returns False while another process holds it."""
-        if self._lock_descriptor != NO_DESCRIPTOR:
-            return True
-        descriptor = os.open(self.lock_path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK, 0o600)
+        if self._lock_descriptor == NO_DESCRIPTOR:
+            self._lock_descriptor = _lock_file(self.lock_path, fcntl.LOCK_EX)
+        return self._lock_descriptor != NO_DESCRIPTOR
+
+    def announce(self) -> None:
+        """Tell the process that holds the lock that this one is to replace it, until `withdraw` or the end."""
+        if self._announcement_descriptor == NO_DESCRIPTOR:
+            self._announcement_descriptor = _lock_file(self.replacement_path, fcntl.LOCK_SH)
+
+    def withdraw(self) -> None:
+        """End the announcement of this process, if there is one."""
+        if self._announcement_descriptor != NO_DESCRIPTOR:
+            os.close(self._announcement_descriptor)
+            self._announcement_descriptor = NO_DESCRIPTOR
+
+    def replacement_status(self) -> ReplacementStatus:
+        """Return whether another process has announced itself."""
         try:
-            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            os.close(descriptor)
-            return False
+            descriptor = _lock_file(self.replacement_path, fcntl.LOCK_EX)
         except OSError:
-            os.close(descriptor)
-            raise
-        self._lock_descriptor = descriptor
-        return True
+            return ReplacementStatus.UNKNOWN
+        if descriptor == NO_DESCRIPTOR:
+            return ReplacementStatus.PRESENT
+        os.close(descriptor)
+        return ReplacementStatus.ABSENT
 
     def read_keys(self) -> bytes | None:
         """Return the content of the keys file, or None if there is none.
@@ -86,6 +111,24 @@
             raise
 
 
+def _lock_file(path: Path, kind: int) -> int:
+    """Take an flock of this kind without waiting, and return its descriptor.
+
+    The lock is held until the descriptor is closed. Returns NO_DESCRIPTOR if another process holds a lock that excludes
+    this one.
+    """
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK, 0o600)
+    try:
+        fcntl.flock(descriptor, kind | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(descriptor)
+        return NO_DESCRIPTOR
+    except OSError:
+        os.close(descriptor)
+        raise
+    return descriptor
+
+
 def _file_name_part(name: str) -> str:
     """Return a server's name as part of a file name: without separators, and hashed if it would be too long."""
     quoted = quote(name, safe="")
--- a/myrtlespar/request_coordinator.py
+++ b/myrtlespar/request_coordinator.py
@@ -152,9 +152,12 @@
         self.counters.add(f"store.{outcome.value.replace(' ', '_')}")
         self._execute(self.tracker.call_ended(request_id, outcome, elapsed_ms, reply))
 
-    def drain(self) -> bool:
-        """Begin a graceful shutdown. Returns whether clients have to be notified."""
-        actions = self.process.begin_graceful_shutdown(unix_ms())
+    def drain(self, kill_in_ms: float = float("inf")) -> bool:
+        """Begin a graceful shutdown; the process is killed `stop_ms` or `kill_in_ms` from now, whichever is earlier.
+
+        Returns whether clients have to be notified.
+        """
+        actions = self.process.begin_graceful_shutdown(unix_ms(), kill_in_ms)
         if ProcessAction.TELL_POLICY in actions:
             self._post(api.Drain(self.process.answer_deadline(self.tracker.unanswered)))
         return ProcessAction.ASK_CLIENTS in actions
--- a/myrtlespar/server/__init__.py
+++ b/myrtlespar/server/__init__.py
@@ -2,7 +2,8 @@
 
 - `main`: the entry point and the exit codes
 - `application`: the connected components of the process
-- `signal_handlers`: maps each signal to an operation of `reload`, `drain` or `handover`
+- `signal_handlers`: maps each signal to an operation of `reload`, `drain` or `termination`
+- `termination`: decides between `drain` and `handover`
 - `shutdown`: polls `state_machines.process.ProcessLifecycle`, which decides when each stage of a shutdown ends, and
   carries out the stages
 
--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -13,7 +13,7 @@
 from myrtlespar.admin.metrics import MetricsSnapshot
 from myrtlespar.config import Config
 from myrtlespar.handover.driver import KeyHandover
-from myrtlespar.handover.folder import HandoverFolder
+from myrtlespar.handover.folder import HandoverFolder, ReplacementStatus
 from myrtlespar.net.admin_server import AdminServer
 from myrtlespar.net.ajp_backends import create_backend_pools
 from myrtlespar.net.ajp_front import AjpFront
@@ -94,6 +94,12 @@
         if self._coordinator_greenlet is not None and self._coordinator_greenlet.ready():
             self._coordinator_greenlet.get()
 
+    def replacement_status(self) -> ReplacementStatus:
+        """Return whether a replacement runs beside this process, which was told to end."""
+        if self.key_handover is None:
+            return ReplacementStatus.ABSENT
+        return self.key_handover.replacement_status()
+
     def leave_fleet(self) -> None:
         """Announce to the other members that this server leaves, if it is in a fleet."""
         if self.fleet is not None:
--- a/myrtlespar/server/handover.py
+++ b/myrtlespar/server/handover.py
@@ -1,4 +1,4 @@
-"""Hand-over to a replacement (SIGTERM with an admin server): stop listening, answer what was read, and exit."""
+"""Hand-over to a replacement (SIGTERM while one runs): stop listening, answer what was read, and exit."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     written for the replacement.
     """
     coordinator = application.coordinator
-    actions = coordinator.process.handover(unix_ms(), _time_until_kill_ms(application))
+    actions = coordinator.process.handover(unix_ms(), time_until_kill_ms(application))
     log.info("handing over", owed=coordinator.tracker.unanswered)
     if ProcessAction.CLOSE_LISTENERS in actions:
         for front in application.fronts:
@@ -28,8 +28,8 @@
     application.leave_fleet()
 
 
-def _time_until_kill_ms(application: Application) -> float:
-    """Return how long after SIGTERM the platform sends SIGKILL.
+def time_until_kill_ms(application: Application) -> float:
+    """Return how long after SIGTERM the platform sends SIGKILL to a process that is replaced.
 
     That is the longest client timeout, up to a maximum, plus a margin.
     """
--- a/myrtlespar/server/signal_handlers.py
+++ b/myrtlespar/server/signal_handlers.py
@@ -11,8 +11,8 @@
 from myrtlespar.runtime.startup_signals import StartupSignals, ignore_signals
 from myrtlespar.server.application import Application
 from myrtlespar.server.drain import begin_drain
-from myrtlespar.server.handover import begin_handover
 from myrtlespar.server.reload import ConfigReloader
+from myrtlespar.server.termination import begin_termination
 
 log = structlog.get_logger()
 
@@ -41,23 +41,20 @@
 
 
 def _handlers_of(application: Application) -> dict[signal.Signals, Callable[[], None]]:
-    """Return the handler of each signal.
-
-    SIGTERM begins a hand-over if there is an admin server, as a replacement process then runs beside this one.
-    """
+    """Return the handler of each signal."""
 
     def drain() -> None:
         begin_drain(application)
 
-    def hand_over() -> None:
-        begin_handover(application)
+    def terminate() -> None:
+        begin_termination(application)
 
     def log_counters() -> None:
         log.info("counters", **application.coordinator.counter_report())
 
     return {
         signal.SIGHUP: ConfigReloader(application).reload,
-        signal.SIGTERM: drain if application.admin_server is None else hand_over,
+        signal.SIGTERM: terminate,
         signal.SIGINT: drain,
         signal.SIGUSR1: log_counters,
     }
--- a/myrtlespar/state_machines/process.py
+++ b/myrtlespar/state_machines/process.py
@@ -34,7 +34,7 @@
     KILL_NEAR = auto()  # little time is left before SIGKILL
     CROSSED = auto()  # no more requests arrive on open connections and all are answered, or SIGKILL is due
     FLUSHED = auto()  # the last answers are sent
-    HANDOVER = auto()  # SIGTERM while a replacement serves: stop listening at once, answer every request that was read
+    HANDOVER = auto()  # SIGTERM while a replacement runs: stop listening at once, answer every request that was read
 
 
 class ProcessAction(IntEnum):
@@ -127,15 +127,19 @@
         self.state = transition.next_state
         return transition.effects
 
-    def begin_graceful_shutdown(self, now: float) -> tuple[ProcessAction, ...]:
-        """Handle a signal for a graceful shutdown. Only the first one sets the deadlines."""
-        if self.state == ProcessState.SERVING:
+    def begin_graceful_shutdown(self, now: float, kill_in_ms: float = float("inf")) -> tuple[ProcessAction, ...]:
+        """Handle a signal for a graceful shutdown. Only the first one sets the deadlines.
+
+        The kill comes `stop_ms` after the signal, or `kill_in_ms` after it if that is earlier. A hand-over that has
+        begun before never gets more time.
+        """
+        if self.shutdown_signal_at == float("inf"):
             self.shutdown_signal_at = now
-            self.kill_at = now + self.stop_ms
+            self.kill_at = min(self.kill_at, now + min(self.stop_ms, kill_in_ms))
         return self.handle(ProcessEvent.NOTICE)
 
     def handover(self, now: float, kill_in_ms: float) -> tuple[ProcessAction, ...]:
-        """Handle SIGTERM while a second process serves beside this one.
+        """Handle SIGTERM while a replacement runs beside this process.
 
         Unlike in a graceful shutdown, the policy is not notified and every request that was read may start. The
         listeners close now, and every request that was read is answered by the kill, `kill_in_ms` from now.
