An unfinished message ends no connection that is owed an answer, and may rest for longer

Cause: net/listener.py ended the reading of a connection 2 s after its last whole message, open requests or not. The client was not told, and its system accepted what nobody read. The time is 2 s on a new connection, and the longest client timeout on one that has carried a message; from 2 s on such a connection makes room for a new one. SocketReader.stop has no caller left and is gone.

--- a/myrtlespar/net/ajp_front.py
+++ b/myrtlespar/net/ajp_front.py
@@ -19,7 +19,7 @@
 from myrtlespar.net.client_connection import ClientConnection
 from myrtlespar.net.codec import ajp as codec
 from myrtlespar.net.listener import Listener
-from myrtlespar.net.socket_reader import ConnectionEndedError, ReadingStoppedError
+from myrtlespar.net.socket_reader import ConnectionEndedError
 from myrtlespar.request_coordinator import RequestCoordinator
 from myrtlespar.runtime.clock import unix_ms
 from myrtlespar.state_machines.client_connection import ConnectionEvent, ConnectionState
@@ -105,7 +105,7 @@
                 self.reader.yield_if_buffered()
         except ConnectionEndedError:
             pass
-        except (codec.MalformedPacketError, ReadingStoppedError):
+        except codec.MalformedPacketError:
             self.coordinator.counters.add("in.bad_message.ajp")
             if self.lifecycle.state == ConnectionState.READING:
                 self._reply(400)
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
 import gevent
@@ -31,6 +32,19 @@
 ConnectionType = TypeVar("ConnectionType", bound=ClientConnection)
 
 
+@dataclass(frozen=True, slots=True)
+class UnfinishedMessage:
+    """A connection whose next message is incomplete, as seen at a check.
+
+    Attributes:
+        messages_read: How many messages of the connection were complete.
+        waited_ms: For how many ms of checks that number has not changed.
+    """
+
+    messages_read: int
+    waited_ms: float = 0.0
+
+
 class Listener(Generic[ConnectionType]):
     """Accepts the client connections of one protocol, and keeps track of them until they end.
 
@@ -83,12 +97,10 @@
         self.idle_timeout_ms = 0.0
         self._max_connections = max_connections
         self._open_connection = open_connection
-        # For each connection whose next message is incomplete: `messages_read` at the latest check, and for how many
-        # ms of checks that number has not changed.
-        self._unfinished: dict[ConnectionType, tuple[int, float]] = {}
+        self._unfinished: dict[ConnectionType, UnfinishedMessage] = {}
         self._socket = bind_with_retries(key, address, 0, True, limits.bind_timeout_ms, limits, is_cancelled)
         self._server = Acceptor(self._socket, self._serve)
-        self._server.free_descriptor = self._close_longest_idle
+        self._server.free_descriptor = self._close_least_needed
         # Accepting many at once could exhaust the descriptors before idle connections are closed to free some.
         self._server.max_accept = limits.max_accepts_per_turn
 
@@ -164,7 +176,7 @@
             except OSError as error:
                 if error.errno in SINGLE_CONNECTION_ERRORS:
                     continue
-                if error.errno not in EXHAUSTION_ERRORS or not self._close_longest_idle():
+                if error.errno not in EXHAUSTION_ERRORS or not self._close_least_needed():
                     return
                 # The closed connection frees its descriptor after the linger time.
                 gevent.sleep(limits.close_linger_ms / 1000.0 + EXHAUSTION_PAUSE_S)
@@ -184,17 +196,42 @@
                 if self.idle_timeout_ms > 0 and idle_ms > self.idle_timeout_ms and self._is_idle(connection):
                     self.close_idle(connection)
                 elif not connection.messages_read or connection.reader.has_buffered():
-                    self._close_silent(connection, *before.get(connection, (connection.messages_read, 0.0)))
+                    self._check_unfinished(connection, before.get(connection))
 
-    def _close_silent(self, connection: ConnectionType, messages_read: int, waited_ms: float) -> None:
-        """Close a connection that has completed no message for too long, unless data waits to be read."""
-        limits = self.coordinator.limits
-        waited_ms = waited_ms + limits.idle_check_ms if messages_read == connection.messages_read else 0.0
-        if waited_ms >= limits.message_timeout_ms and not connection.reader.is_readable():
-            self.coordinator.counters.add(f"in.unfinished.{self.name}")
-            connection.reader.stop()
+    def _check_unfinished(self, connection: ConnectionType, before: UnfinishedMessage | None) -> None:
+        """Close a connection that has completed no message for too long.
+
+        It stays open while one of its requests is unanswered, as the client may send further ones behind the unfinished
+        message, and while data waits to be read.
+        """
+        waited_ms = 0.0
+        if before is not None and before.messages_read == connection.messages_read:
+            waited_ms = before.waited_ms + self.coordinator.limits.idle_check_ms
+        if waited_ms >= self._message_timeout_ms(connection) and self._is_stalled(connection):
+            self._close_stalled(connection)
         else:
-            self._unfinished[connection] = (connection.messages_read, waited_ms)
+            self._unfinished[connection] = UnfinishedMessage(connection.messages_read, waited_ms)
+
+    def _message_timeout_ms(self, connection: ConnectionType) -> float:
+        """Return how long the next message may take.
+
+        On a connection that has carried a message, it is as long as the longest client timeout: by then nobody waits
+        for the answer to a request that is still incomplete.
+        """
+        timeout_ms = self.coordinator.limits.message_timeout_ms
+        if not connection.messages_read:
+            return timeout_ms
+        return max(timeout_ms, self.coordinator.settings.longest_client_timeout_ms)
+
+    def _close_stalled(self, connection: ConnectionType) -> None:
+        self.coordinator.counters.add(f"in.unfinished.{self.name}")
+        self.connections.discard(connection)
+        connection.close()
+
+    @staticmethod
+    def _is_stalled(connection: ConnectionType) -> bool:
+        """Return whether a connection with an incomplete message has no open request and nothing else to read."""
+        return not connection.has_open_requests() and not connection.reader.is_readable()
 
     @staticmethod
     def _is_idle(connection: ConnectionType) -> bool:
@@ -202,16 +239,31 @@
         return not connection.has_open_requests() and not connection.reader.has_unread()
 
     def _can_open_connection(self) -> bool:
-        """Return whether one more connection may be opened; closes the longest idle one if the limit is reached."""
-        return len(self.connections) < self._max_connections or self._close_longest_idle()
+        """Return whether one more connection may be opened; closes another one if the limit is reached."""
+        return len(self.connections) < self._max_connections or self._close_least_needed()
 
-    def _close_longest_idle(self) -> bool:
-        """Close the connection that is idle for the longest time; return whether there was one."""
+    def _close_least_needed(self) -> bool:
+        """Close the connection that is idle for the longest time, or else the one that is stalled for the longest time.
+
+        Returns:
+            Whether there was one.
+        """
         idle = (connection for connection in self.connections if self._is_idle(connection))
         longest_idle = min(idle, key=lambda connection: connection.last_active_at, default=None)
         if longest_idle is not None:
             self.close_idle(longest_idle)
-        return longest_idle is not None
+            return True
+        stalled = (connection for connection in self._unfinished if self._may_give_way(connection))
+        longest_stalled = max(stalled, key=lambda connection: self._unfinished[connection].waited_ms, default=None)
+        if longest_stalled is not None:
+            self._close_stalled(longest_stalled)
+        return longest_stalled is not None
+
+    def _may_give_way(self, connection: ConnectionType) -> bool:
+        """Return whether a connection that stopped within a message may be closed for a new one."""
+        waited_ms = self._unfinished[connection].waited_ms
+        is_overdue = waited_ms >= self.coordinator.limits.message_timeout_ms
+        return is_overdue and connection in self.connections and self._is_stalled(connection)
 
     def _serve_then_close(self, sock: socket.socket, peer_address: Any) -> None:
         try:
--- a/myrtlespar/net/socket_reader.py
+++ b/myrtlespar/net/socket_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import select
 
 import gevent
@@ -24,10 +23,6 @@
     """The peer shut down its sending side; it may still read."""
 
 
-class ReadingStoppedError(MyrtlesparError):
-    """Reading was stopped because the peer did not finish a message in time."""
-
-
 class SocketReader:
     """Reads exact sizes and lines from a socket.
 
@@ -39,7 +34,6 @@
         self._sock = sock
         self._max_line_bytes = max_line_bytes
         self._data = bytearray()
-        self._stopped = False
         self._reads_in_turn = 0
         self._lines_in_turn = 0
         self._poll = select.poll()
@@ -50,7 +44,6 @@
 
         Raises:
             ConnectionEndedError: The connection ended first.
-            ReadingStoppedError: `stop` was called first.
         """
         while len(self._data) < size:
             self._fill()
@@ -63,7 +56,6 @@
 
         Raises:
             ConnectionEndedError: The connection ended first, or the line is too long.
-            ReadingStoppedError: `stop` was called first.
         """
         self._lines_in_turn += 1
         if self._lines_in_turn >= MAX_LINES_PER_TURN:
@@ -79,12 +71,6 @@
         del self._data[: end + 1]
         return out
 
-    def stop(self) -> None:
-        """Stop reading: a read in progress and all later ones raise `ReadingStoppedError`."""
-        self._stopped = True
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RD)
-
     def discard(self) -> None:
         """Read and discard data until the peer ends the connection or the socket is shut down."""
         try:
@@ -113,11 +99,8 @@
     def _fill(self) -> None:
         try:
             data = self._receive()
-        except OSError as error:  # also a read that was ended by `stop`
-            if not self._stopped:
-                raise ConnectionEndedError(str(error)) from None
-        if self._stopped:
-            raise ReadingStoppedError("no complete message within the message timeout")
+        except OSError as error:
+            raise ConnectionEndedError(str(error)) from None
         if not data:
             raise PeerFinishedSendingError("end of stream")
         self._data += data
@@ -135,6 +118,6 @@
             try:
                 return bytes(self._sock.recv(MAX_READ_BYTES))
             except OSError as error:
-                if self._stopped or error.errno not in TRANSIENT_ERRORS:
+                if error.errno not in TRANSIENT_ERRORS:
                     raise
             gevent.sleep(TRANSIENT_ERROR_PAUSE_S)
--- a/myrtlespar/net/thrift_front.py
+++ b/myrtlespar/net/thrift_front.py
@@ -17,7 +17,7 @@
 from myrtlespar.net.codec import thrift as codec
 from myrtlespar.net.codec.thrift import MalformedCallError, MalformedMessageError, idl
 from myrtlespar.net.listener import Listener
-from myrtlespar.net.socket_reader import ConnectionEndedError, PeerFinishedSendingError, ReadingStoppedError
+from myrtlespar.net.socket_reader import ConnectionEndedError, PeerFinishedSendingError
 from myrtlespar.net.thrift_requests import ThriftRequestReader
 from myrtlespar.policy.messages import LoadSignal
 from myrtlespar.request_coordinator import RequestCoordinator
@@ -109,7 +109,7 @@
             self._stop_reading()
         except ConnectionEndedError:
             pass
-        except (MalformedMessageError, ReadingStoppedError) as error:
+        except MalformedMessageError as error:
             self._report_malformed(error)
             self._stop_reading()
         self._close_after_reading()
@@ -120,7 +120,7 @@
             raise MalformedMessageError(f"frame length {size} is zero or over the limit")
         return self.reader.read_exactly(size)
 
-    def _report_malformed(self, error: MalformedMessageError | ReadingStoppedError) -> None:
+    def _report_malformed(self, error: MalformedMessageError) -> None:
         """Log a malformed message, and answer it with an exception if it is a call.
 
         There is no answer if an open request has the same sequence number: the client would take the exception for the
--- a/myrtlespar/policy/settings.py
+++ b/myrtlespar/policy/settings.py
@@ -122,3 +122,8 @@
     caller_idle_ms: float = 15000.0
     max_retry_after_ms: float = 0.0
     gauges: list[str] = field(default_factory=list)
+
+    @property
+    def longest_client_timeout_ms(self) -> float:
+        """The longest time for which a caller waits for an answer."""
+        return max(request_class.client_timeout_ms for request_class in self.classes)
--- a/myrtlespar/resource_limits.py
+++ b/myrtlespar/resource_limits.py
@@ -43,7 +43,7 @@
     send_buffer_bytes: int = 131072  # kernel send buffer of one connection
     send_timeout_ms: float = 5000.0  # longest time for which a peer may block one send
     max_consecutive_rejected: int = 500  # rejected messages in a row, after which the connection is closed
-    message_timeout_ms: float = 2000.0  # without a complete message, on a new connection or in the middle of a message
+    message_timeout_ms: float = 2000.0  # without a complete message on a new connection
     idle_check_ms: float = 250.0  # between checks for idle connections
     close_linger_ms: float = 50.0  # longest transit time of a request sent just before the connection closed
 
--- a/myrtlespar/server/handover.py
+++ b/myrtlespar/server/handover.py
@@ -34,5 +34,5 @@
     That is the longest client timeout, up to a maximum, plus a margin.
     """
     limits = application.config.limits
-    longest_timeout_ms = max(request_class.client_timeout_ms for request_class in application.config.settings.classes)
+    longest_timeout_ms = application.config.settings.longest_client_timeout_ms
     return min(longest_timeout_ms, limits.handover_max_deadline_ms) + limits.handover_margin_ms
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import socket
 import struct
 import threading
+import time
 from pathlib import Path
 
 import pytest
@@ -16,6 +18,8 @@
     server_process,
     until,
 )
+from myrtlespar.net.codec.thrift import encode, idl
+from tests.request_classes import class_settings
 
 
 def invoke(fields: bytes) -> bytes:
@@ -125,3 +129,63 @@
             assert busy.answer(seq)[0] == "success"
             assert new.ask("fetch", b"new")[0] == "success"
         assert running.counters()["in.idle_closed.thrift"] == 5
+
+
+def begin_request(client: ThriftClient, method: str, body: bytes, sent_bytes: int) -> bytes:
+    """Send the first bytes of a request with the client's next sequence number, and return the rest."""
+    client.seq += 1
+    fields = {"method": method, "rid": os.urandom(8).hex(), "t0": str(int(time.time() * 1000)), "mem": "20.0"}
+    frame = encode("invoke", 1, client.seq, idl.Front.invoke_args(fields=fields, body=body))
+    client.sock.sendall(frame[:sent_bytes])
+    return frame[sent_bytes:]
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "open_ms", "sent_bytes", "connections"),
+    [(2.6, 4000, 60, 1), (2.6, 0, 60, 3), (4.0, 4800, 4, 1), (5.0, 5500, 1, 2), (4.5, 1000, 90, 1)],
+)
+def test_a_pause_within_a_request_loses_no_request_of_its_connection(
+    server: ServerProcess, pause_s: float, open_ms: int, sent_bytes: int, connections: int
+) -> None:
+    """Guards against ending the reading at a pause: what the client sent behind it was never answered."""
+    clients = [ThriftClient(server.ports[0]) for _ in range(connections)]
+    requests = []
+    rests = []
+    for client in clients:
+        assert client.ask("fetch", b"ms=5")[0] == "success"
+        if open_ms:
+            requests.append((client, client.send("render", b"ms=%d" % open_ms)))
+        rests.append(begin_request(client, "render", b"ms=5", sent_bytes))
+        requests.append((client, client.seq))
+    assert not clients[0].ended.wait(pause_s)
+    for client, rest in zip(clients, rests, strict=True):
+        client.sock.sendall(rest)
+        requests += [(client, client.send("fetch", b"ms=5")) for _ in range(5)]
+    assert {client.answer(seq)[0] for client, seq in requests} <= {"success", "refused"}
+    assert not any(client.ended.is_set() for client in clients)
+    assert all(client.count[seq] == 1 for client, seq in requests)
+
+
+def test_a_request_that_stays_unfinished_longer_than_any_caller_waits_ends_its_connection(tmp_path: Path) -> None:
+    """Guards against an unfinished message that holds a connection for ever, and against one that ends it early."""
+    with server_process(tmp_path, given={"settings": class_settings(("short", "free", 2500.0))}) as running:
+        client = ThriftClient(running.ports[0])
+        assert client.ask("short", b"ms=5")[0] == "success"
+        begin_request(client, "short", b"ms=5", 60)
+        began_at = time.monotonic()
+        assert client.ended.wait(20)
+        assert time.monotonic() - began_at > 2.4  # the caller waits for 2.5 s
+        assert running.counters()["in.unfinished.thrift"] == 1
+
+
+def test_a_connection_that_stopped_within_a_message_gives_way_to_a_new_one(tmp_path: Path) -> None:
+    """Guards against connections with unfinished messages that keep new clients out of a full server."""
+    patient = {"settings": class_settings(("fetch", "free", 60_000.0))}  # no timeout of a message ends the connections
+    with server_process(tmp_path, sockets=64, given=patient) as running:
+        clients = [ThriftClient(running.ports[0]) for _ in range(11)]  # the maximum number
+        for client in clients:
+            assert client.ask("fetch", b"ms=5")[0] == "success"
+            begin_request(client, "fetch", b"ms=5", 60)
+        until(lambda: ThriftClient(running.ports[0]).ended.wait(0.1) is False, "room for a new connection")
+        until(lambda: sum(client.ended.is_set() for client in clients) >= 1, "the end of a stalled connection")
+        assert running.counters()["in.unfinished.thrift"] >= 1
