A process that ends writes its keys from the signal on, and in time before the kill

Cause: the keys were written behind the last answer, for which alone time was kept free before SIGKILL; and CROSSING could last until the kill as long as some client went on sending. No file is the proof to the new process that no keys will come. Change: handover/publisher.py writes the outcomes from the signal on; behind the last answer only the newest are left. ProcessLifecycle makes the last answers due earlier by the time that the unwritten keys take, and DRAINING and CROSSING end by then. The longest file follows from the table's capacity. Why it works: the time at the end does not grow with the table or with what clients send, and what is left is measured.

--- a/myrtlespar/handover/driver.py
+++ b/myrtlespar/handover/driver.py
@@ -8,10 +8,11 @@
 import structlog
 
 from myrtlespar.handover.folder import HandoverFolder, ReplacementStatus
-from myrtlespar.handover.keys_file import answer_of, encode, key_outcomes
+from myrtlespar.handover.keys_file import answer_of
+from myrtlespar.handover.publisher import KeyPublisher
 from myrtlespar.handover.receiver import HandoverReceiver, HandoverState
 from myrtlespar.request_coordinator import RequestCoordinator
-from myrtlespar.runtime.clock import from_wall, to_wall, unix_ms, wall_ms
+from myrtlespar.runtime.clock import from_wall, unix_ms, wall_ms
 
 log = structlog.get_logger()
 POLL_INTERVAL_S = 0.05  # between two reads of the folder while the old process runs
@@ -37,6 +38,7 @@
         self._coordinator = coordinator
         self._folder = folder
         self._receiver = HandoverReceiver(HandoverState.WAITING)
+        self._publisher = KeyPublisher(coordinator, folder)
         self._started_at = unix_ms()
         self._ends = False  # whether this process was told to end; it replaces no other one then
 
@@ -53,15 +55,13 @@
         self._folder.withdraw()
         return self._folder.replacement_status()
 
+    def begin_publishing(self) -> None:
+        """Begin to write the outcomes of the idempotency keys, as the process ends soon."""
+        self._publisher.start()
+
     def publish_keys(self) -> None:
-        """Write the outcomes of the idempotency keys for the replacement; a failure is logged and not raised."""
-        rows = self._coordinator.tracker.keys_to_hand_over(unix_ms())
-        outcomes = key_outcomes((key_id, answer, to_wall(expires_at)) for key_id, answer, expires_at in rows)
-        try:
-            self._folder.write_keys(encode(outcomes))
-            log.info("idempotency keys written for the replacement", keys=len(outcomes))
-        except OSError as error:
-            log.error("writing the idempotency keys for the replacement failed", error=str(error))
+        """Publish the outcomes of the idempotency keys for the replacement; a failure is logged and not raised."""
+        self._publisher.publish()
 
     def _wait_for_old_process(self) -> None:
         """Wait for the keys, then take the lock once the old process has ended.
--- a/myrtlespar/handover/folder.py
+++ b/myrtlespar/handover/folder.py
@@ -18,7 +18,9 @@
 from pathlib import Path
 from urllib.parse import quote
 
-MAX_FILE_BYTES = 1 << 25  # maximum length of a hand-over file; a longer file was not written by this program
+from myrtlespar.handover.keys_writer import KeysFileWriter
+
+DEFAULT_MAX_KEYS_BYTES = 1 << 25
 MAX_NAME_CHARS = 128  # maximum length of a server's name within a file name
 NO_DESCRIPTOR = -1
 
@@ -38,11 +40,19 @@
     first one is exclusive and held until the process ends. The second one is shared by all waiting replacements.
     """
 
-    def __init__(self, tmpdir: str, name: str) -> None:
+    def __init__(self, tmpdir: str, name: str, max_keys_bytes: int = DEFAULT_MAX_KEYS_BYTES) -> None:
+        """Name the files.
+
+        Args:
+            tmpdir: The folder.
+            name: The name of the server.
+            max_keys_bytes: The maximum length of a keys file; a longer one was not written by this program.
+        """
         base = f"myrtlespar-{_file_name_part(name)}"
         self.lock_path = Path(tmpdir) / f"{base}.lock"
         self.replacement_path = Path(tmpdir) / f"{base}.replacement"
         self.keys_path = Path(tmpdir) / f"{base}.keys"
+        self._max_keys_bytes = max_keys_bytes
         self._lock_descriptor = NO_DESCRIPTOR
         self._announcement_descriptor = NO_DESCRIPTOR
 
@@ -77,7 +87,7 @@
     def read_keys(self) -> bytes | None:
         """Return the content of the keys file, or None if there is none.
 
-        A pipe or device of that name, which could be endless, and a file longer than MAX_FILE_BYTES raise OSError.
+        A pipe or device of that name, which could be endless, and a file longer than `max_keys_bytes` raise OSError.
         """
         try:
             descriptor = os.open(self.keys_path, os.O_RDONLY | os.O_CLOEXEC | os.O_NONBLOCK)
@@ -87,9 +97,9 @@
             status = os.fstat(descriptor)
             if not stat.S_ISREG(status.st_mode):
                 raise OSError(errno.EINVAL, "not a regular file", str(self.keys_path))
-            if status.st_size > MAX_FILE_BYTES:
+            if status.st_size > self._max_keys_bytes:
                 raise OSError(errno.EFBIG, "longer than a hand-over file can be", str(self.keys_path))
-            return file.read(MAX_FILE_BYTES)
+            return file.read(self._max_keys_bytes)
 
     def remove_keys(self) -> None:
         """Remove the keys file, so that no later process reads it again.
@@ -99,16 +109,9 @@
         with contextlib.suppress(OSError):
             self.keys_path.unlink()
 
-    def write_keys(self, data: bytes) -> None:
-        """Write the keys to a temporary file and rename it, so that the keys file is complete or absent."""
-        temporary_path = self.keys_path.with_name(f"{self.keys_path.name}.part{os.getpid()}")
-        try:
-            temporary_path.write_bytes(data)
-            temporary_path.replace(self.keys_path)
-        except OSError:
-            with contextlib.suppress(OSError):
-                temporary_path.unlink()
-            raise
+    def begin_keys(self) -> KeysFileWriter:
+        """Begin to write the keys file. Nobody sees it before `KeysFileWriter.publish`."""
+        return KeysFileWriter(self.keys_path)
 
 
 def _lock_file(path: Path, kind: int) -> int:
--- a/myrtlespar/handover/keys_file.py
+++ b/myrtlespar/handover/keys_file.py
@@ -11,7 +11,7 @@
 import json
 import math
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,10 +21,16 @@
 VERSION = 1
 MAGIC = b"myrtlespar-keys"
 HEADER_WORDS = 4  # magic, version, checksum, length
+LENGTH_DIGITS = 12  # of the length in a header that is written before its rows are known
 ANSWER_KINDS = ("served", "refused", "failed")  # as written in the file
+MAX_HEADER_BYTES = 64
+MAX_ROW_BYTES_WITHOUT_BODY = 1536  # a key has up to 200 characters, each of which JSON may write as 6 bytes
 MAX_SHOWN_CHARS = 60  # how much of a rejected entry an error text quotes
 
 
+KeyRow = tuple[tuple[int, str], Answer, float]  # class and key, the outcome, and when the key expires
+
+
 class HandoverRejectedError(MyrtlesparError):
     """A hand-over file was rejected; the text gives the reason in one line."""
 
@@ -50,7 +56,7 @@
     expires_at: float
 
 
-def key_outcomes(rows: Iterable[tuple[tuple[int, str], Answer, float]]) -> list[KeyOutcome]:
+def key_outcomes(rows: Iterable[KeyRow]) -> list[KeyOutcome]:
     """Return the entries of the file for rows of a request tracker: class and key, answer, expiry time."""
     return [
         KeyOutcome(class_index, key, answer.kind.value, answer.body, answer.retry_after_ms, expires_at)
@@ -63,10 +69,36 @@
     return Answer(AnswerKind(outcome.kind), outcome.body, outcome.retry_after_ms)
 
 
+class KeysFileEncoder:
+    """Encodes a hand-over file in pieces: first its rows, then the header, whose length is always the same."""
+
+    def __init__(self) -> None:
+        self._checksum = zlib.crc32(b"")
+        self._length = 0
+
+    def encode_rows(self, outcomes: Iterable[KeyOutcome]) -> bytes:
+        """Return the next rows of the file."""
+        rows = b"".join(_encode_row(outcome) for outcome in outcomes)
+        self._checksum = zlib.crc32(rows, self._checksum)
+        self._length += len(rows)
+        return rows
+
+    def encode_header(self, length_digits: int = LENGTH_DIGITS) -> bytes:
+        """Return the header line for all rows so far."""
+        return b"%s %d %08x %0*d\n" % (MAGIC, VERSION, self._checksum, length_digits, self._length)
+
+
+def max_file_bytes(max_keys: int, max_body_bytes: int) -> int:
+    """Return the length of the longest hand-over file with this many keys and answers of this length."""
+    body_bytes = 4 * math.ceil(max_body_bytes / 3)  # in base64
+    return MAX_HEADER_BYTES + max_keys * (MAX_ROW_BYTES_WITHOUT_BODY + body_bytes)
+
+
 def encode(outcomes: Iterable[KeyOutcome]) -> bytes:
     """Return the bytes of a hand-over file."""
-    rows = b"".join(_encode_row(outcome) for outcome in outcomes)
-    return b"%s %d %08x %d\n" % (MAGIC, VERSION, zlib.crc32(rows), len(rows)) + rows
+    encoder = KeysFileEncoder()
+    rows = encoder.encode_rows(outcomes)
+    return encoder.encode_header(length_digits=0) + rows
 
 
 def decode(data: bytes, now: float, class_count: int) -> list[KeyOutcome]:
@@ -83,11 +115,13 @@
     Raises:
         HandoverRejectedError: The file is not complete and valid.
     """
-    header, _, rows = data.partition(b"\n")
-    _check_header(header, rows)
+    header_end = data.find(b"\n") + 1
+    if not header_end:
+        header_end = len(data)
+    _check_header(data[:header_end].rstrip(b"\n"), memoryview(data)[header_end:])
     outcomes: list[KeyOutcome] = []
     try:
-        for line in rows.splitlines():
+        for line in _lines(data, header_end):
             outcome = _decode_row(line, now, class_count)
             if outcome is not None:
                 outcomes.append(outcome)
@@ -108,7 +142,17 @@
     return json.dumps(row).encode() + b"\n"
 
 
-def _check_header(header: bytes, rows: bytes) -> None:
+def _lines(data: bytes, start: int) -> Iterator[bytes]:
+    """Yield the lines of a file from this position on, one at a time, as a file may be large."""
+    while start < len(data):
+        end = data.find(b"\n", start)
+        if end < 0:
+            end = len(data)
+        yield data[start:end]
+        start = end + 1
+
+
+def _check_header(header: bytes, rows: memoryview) -> None:
     """Check version, length and checksum of the rows against the header line."""
     words = header.split(b" ")
     if len(words) != HEADER_WORDS or words[0] != MAGIC:
--- a/myrtlespar/model_checker/mutants/request_mutations.py
+++ b/myrtlespar/model_checker/mutants/request_mutations.py
@@ -78,15 +78,15 @@
     mutation(
         "key hand-over dropped",
         "request_tracker",
-        "return self.keys.known_outcomes() + running",
+        "return self.keys.known_outcomes(position) + running",
         "return []",
         "twins",
     ),
     mutation(
         "runs in hand not handed over",
         "request_tracker",
-        "return self.keys.known_outcomes() + running",
-        "return self.keys.known_outcomes()",
+        "return self.keys.known_outcomes(position) + running",
+        "return self.keys.known_outcomes(position)",
         "twins",
     ),
     mutation(
--- a/myrtlespar/resource_limits.py
+++ b/myrtlespar/resource_limits.py
@@ -27,6 +27,7 @@
     # plus `handover_margin_ms`.
     handover_max_deadline_ms: float = 3000.0
     handover_margin_ms: float = 700.0
+    publish_reserve_ms: float = 100.0  # kept free before SIGKILL if there are idempotency keys to publish
     reload_retry_ms: float = 50.0  # between attempts to read an invalid file, which may be half written
     reload_timeout_ms: float = 3000.0  # for all attempts; equals how long the registry keeps an entry without reports
 
--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -13,7 +13,8 @@
 from myrtlespar.admin.metrics import MetricsSnapshot
 from myrtlespar.config import Config
 from myrtlespar.handover.driver import KeyHandover
-from myrtlespar.handover.folder import HandoverFolder, ReplacementStatus
+from myrtlespar.handover.folder import DEFAULT_MAX_KEYS_BYTES, HandoverFolder, ReplacementStatus
+from myrtlespar.handover.keys_file import max_file_bytes
 from myrtlespar.net.admin_server import AdminServer
 from myrtlespar.net.ajp_backends import create_backend_pools
 from myrtlespar.net.ajp_front import AjpFront
@@ -100,6 +101,11 @@
             return ReplacementStatus.ABSENT
         return self.key_handover.replacement_status()
 
+    def begin_publishing_keys(self) -> None:
+        """Begin to write the idempotency keys for a replacement, as this process ends."""
+        if self.key_handover is not None:
+            self.key_handover.begin_publishing()
+
     def leave_fleet(self) -> None:
         """Announce to the other members that this server leaves, if it is in a fleet."""
         if self.fleet is not None:
@@ -128,7 +134,12 @@
         """Begin to receive the idempotency keys of the previous process, if a folder for them is configured."""
         if not self.config.tmpdir:
             return None
-        key_handover = KeyHandover(self.coordinator, HandoverFolder(self.config.tmpdir, self.config.name))
+        max_keys_bytes = max(
+            DEFAULT_MAX_KEYS_BYTES,
+            max_file_bytes(self.config.limits.max_idempotency_keys, self.config.limits.max_result_bytes),
+        )
+        folder = HandoverFolder(self.config.tmpdir, self.config.name, max_keys_bytes)
+        key_handover = KeyHandover(self.coordinator, folder)
         key_handover.start()
         return key_handover
 
--- a/myrtlespar/server/drain.py
+++ b/myrtlespar/server/drain.py
@@ -24,4 +24,5 @@
     if coordinator.drain(kill_in_ms):
         for front in application.fronts:
             front.drain()
+    application.begin_publishing_keys()
     application.leave_fleet()
--- a/myrtlespar/server/handover.py
+++ b/myrtlespar/server/handover.py
@@ -25,6 +25,7 @@
         for front in application.fronts:
             front.stop()
             front.drain()
+    application.begin_publishing_keys()
     application.leave_fleet()
 
 
--- a/myrtlespar/state_machines/idempotency_keys.py
+++ b/myrtlespar/state_machines/idempotency_keys.py
@@ -9,6 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum, auto
+from itertools import islice
 
 from myrtlespar.exchange import Answer, AnswerKind, Exchange
 from myrtlespar.state_machines.transition_table import Transition, TransitionTable
@@ -67,6 +68,7 @@
 )
 
 KeyId = tuple[int, str]  # request class and idempotency key
+KnownOutcome = tuple[KeyId, Answer, float]  # a key, the outcome of its request, and when the key expires
 
 
 @dataclass(slots=True)
@@ -96,6 +98,7 @@
         self.max_result_bytes = max_result_bytes
         self.entries: dict[KeyId, KeyEntry] = {}
         self.expiry: deque[tuple[float, KeyId]] = deque()  # times in Unix milliseconds, earliest first
+        self.expired_count = 0  # outcomes removed from `expiry`
         # Whether the keys of an earlier process are awaited. While they are, no new key is accepted.
         self.awaiting_handover = False
 
@@ -169,16 +172,31 @@
         entry = self.entries.get((exchange.class_index, exchange.key))
         return entry is not None and entry.owner is exchange
 
-    def known_outcomes(self) -> list[tuple[KeyId, Answer, float]]:
-        """Return the keys whose requests a replacement must not run again, with outcome and expiry time.
+    @property
+    def outcome_count(self) -> int:
+        """How many outcomes were recorded or imported so far, those that have expired included."""
+        return self.expired_count + len(self.expiry)
 
-        They are sorted by expiry time.
+    def known_outcomes(self, position: int = 0) -> list[KnownOutcome]:
+        """Return the keys whose requests a replacement must not run again, from this position on, by expiry time."""
+        return self.outcomes_from(position, len(self.expiry))[0]
+
+    def outcomes_from(self, position: int, max_count: int) -> tuple[list[KnownOutcome], int]:
+        """Return the next known outcomes, and the position of the one after them.
+
+        Args:
+            position: Where to begin; each outcome has a position in the order in which they became known, from 0 on.
+            max_count: How many to return at most.
         """
-        return [
+        first = max(position, self.expired_count)
+        start = first - self.expired_count
+        expiry = list(islice(self.expiry, start, start + max_count))
+        outcomes = [
             (key_id, entry.outcome, expires_at)
-            for expires_at, key_id in self.expiry
+            for expires_at, key_id in expiry
             if (entry := self.entries.get(key_id)) is not None and entry.outcome is not None
         ]
+        return outcomes, first + len(expiry)
 
     def import_outcome(self, key_id: KeyId, outcome: Answer, expires_at: float) -> None:
         """Import a key from an earlier process. Call in order of expiry, before any new key is registered.
@@ -193,5 +211,6 @@
         """Remove the outcomes that have been cached for `key_ms`."""
         while self.expiry and self.expiry[0][0] <= now:
             key_id = self.expiry.popleft()[1]
+            self.expired_count += 1
             if KEY_TABLE.step(self.entries[key_id].state, KeyEvent.EXPIRE, key_id[1]).next_state == KeyState.FREE:
                 del self.entries[key_id]
--- a/myrtlespar/state_machines/process.py
+++ b/myrtlespar/state_machines/process.py
@@ -112,6 +112,9 @@
         self.crossing_ms = crossing_ms
         self.state: int = ProcessState.SERVING
         self.average_answer_ms = 0.0  # moving average of the time in ms to deliver one answer
+        self.average_key_ms = 0.0  # average time in ms to write one idempotency key for the replacement
+        self.publish_reserve_ms = 0.0  # kept free before the kill to publish the idempotency keys, however few
+        self.unwritten_keys = 0  # idempotency keys with an outcome that are not written for the replacement yet
         self.shutdown_signal_at = float("inf")  # when the shutdown signal arrived
         self.kill_at = float("inf")
         self.closed_at = float("inf")  # when the listeners closed
@@ -153,19 +156,21 @@
         """Enter the next stage of the shutdown if it is due; `unanswered` counts the outstanding answers.
 
         DRAINING ends when the grace period has passed and no answer is outstanding, at the latest twice `flush_ms`
-        before the kill. CROSSING ends when `crossing_ms` have passed and no answer is outstanding, at the latest at the
-        kill. FLUSHING ends with the event FLUSHED.
+        before the kill, and early enough for CROSSING. CROSSING ends when `crossing_ms` have passed and no answer is
+        outstanding, at the latest when the last answers are due: a client that never stops sending can't take the time
+        in which the idempotency keys are written. FLUSHING ends with the event FLUSHED.
         """
         if self.state == ProcessState.DRAINING:
             if now > self.shutdown_signal_at + self.grace_ms and not unanswered:
                 self.closed_at = now
                 return self.handle(ProcessEvent.EMPTY)
-            if now > self.kill_at - 2 * self.flush_ms:
+            answers_due_at = self.answer_deadline(unanswered)
+            if now > min(self.kill_at - 2 * self.flush_ms, answers_due_at - self.crossing_ms):
                 self.closed_at = now
                 return self.handle(ProcessEvent.KILL_NEAR)
         elif self.state == ProcessState.CROSSING:
             crossed = now >= self.closed_at + self.crossing_ms and not unanswered
-            if crossed or now >= self.kill_at:
+            if crossed or now >= self._latest_flush_at(unanswered):
                 return self.handle(ProcessEvent.CROSSED)
         return ()
 
@@ -181,10 +186,20 @@
         """Return how many ms before the kill the process must begin to send this many outstanding answers.
 
         A check for overdue requests may come one interval late. The average time to deliver an answer counts twice for
-        each answer, as deciding it takes about as long.
+        each answer, as deciding it takes about as long. The idempotency keys are written after that, those of the
+        outstanding requests included; their time counts twice as other processes may use the core.
         """
-        return 2 * self.overdue_check_ms + 2 * self.average_answer_ms * unanswered
+        answers_ms = 2 * self.average_answer_ms * unanswered
+        keys_ms = self.publish_reserve_ms + 2 * self.average_key_ms * (self.unwritten_keys + unanswered)
+        return 2 * self.overdue_check_ms + answers_ms + keys_ms
 
     def answer_deadline(self, unanswered: int = 0) -> float:
         """Return when the process must begin to send this many outstanding answers, whatever their own due times."""
         return self.kill_at - self.answer_reserve_ms(unanswered)
+
+    def _latest_flush_at(self, unanswered: int) -> float:
+        """Return when CROSSING ends at the latest.
+
+        That is when the last answers are due, but `crossing_ms` are granted as long as the kill allows.
+        """
+        return min(self.kill_at, max(self.answer_deadline(unanswered), self.closed_at + self.crossing_ms))
--- a/myrtlespar/state_machines/request_tracker.py
+++ b/myrtlespar/state_machines/request_tracker.py
@@ -16,7 +16,7 @@
     AttemptEvent,
     AttemptState,
 )
-from myrtlespar.state_machines.idempotency_keys import IdempotencyKeyTable, KeyAction, KeyId
+from myrtlespar.state_machines.idempotency_keys import IdempotencyKeyTable, KeyAction, KnownOutcome
 from myrtlespar.state_machines.process import ProcessLifecycle
 from myrtlespar.state_machines.request_effects import (
     FAILED,
@@ -185,18 +185,18 @@
                 effects += self._step(exchange, EVENT_OVERDUE, EventDetails(LATE), now)
         return effects
 
-    def keys_to_hand_over(self, now: float) -> list[tuple[KeyId, Answer, float]]:
+    def keys_to_hand_over(self, now: float, position: int = 0) -> list[KnownOutcome]:
         """Return the keys for the process that takes over, each with its outcome and expiry time.
 
-        A run that has not ended continues in the execution engine without this process. Its key gets a failure as its
-        outcome, since the real outcome will not be known.
+        The known outcomes before `position` are left out. A run that has not ended continues in the execution engine
+        without this process. Its key gets a failure as its outcome, since the real outcome will not be known.
         """
         running = [
             ((exchange.class_index, exchange.key), FAILED, now + self.keys.key_ms)
             for exchange in self.requests.values()
             if exchange.key and exchange.state in STARTED and self.keys.owns(exchange)
         ]
-        return self.keys.known_outcomes() + running
+        return self.keys.known_outcomes(position) + running
 
     # Decisions of the policy.
 
--- a/tests/test_handover_file.py
+++ b/tests/test_handover_file.py
@@ -15,7 +15,14 @@
 from myrtlespar.exchange import Answer, AnswerKind
 from myrtlespar.fakes import ThriftClient, server_process, until
 from myrtlespar.handover.folder import HandoverFolder
-from myrtlespar.handover.keys_file import HandoverRejectedError, KeyOutcome, decode, encode, key_outcomes
+from myrtlespar.handover.keys_file import (
+    HandoverRejectedError,
+    KeyOutcome,
+    decode,
+    encode,
+    key_outcomes,
+    max_file_bytes,
+)
 from myrtlespar.handover.receiver import HandoverReceiver, HandoverState, ReceivedKeys
 from tests.request_classes import KEYED_SETTINGS
 
@@ -40,6 +47,12 @@
         decode(data, 1000.0, 2)
 
 
+def test_the_longest_file_of_a_full_table_is_not_too_long_for_the_replacement() -> None:
+    """Guards against a fixed limit of length: a replacement refused the file of a larger table."""
+    outcomes = [KeyOutcome(9, "\x00" * 200, "refused", b"\xff" * 4096, 1e9 / 3, 2e13 / 3) for _ in range(50)]
+    assert len(encode(outcomes)) <= max_file_bytes(len(outcomes), 4096)
+
+
 def test_after_a_rejected_file_the_receiver_waits_for_the_end_of_the_old_process() -> None:
     waiting = HandoverReceiver(HandoverState.WAITING)
     assert waiting.poll(True, None, 0.0, 3) == ReceivedKeys([], "")
@@ -83,7 +96,10 @@
     assert first.acquire_lock()
     assert second.acquire_lock()
     assert not HandoverFolder(str(tmp_path), name).acquire_lock()
-    first.write_keys(encode(key_outcomes([((0, "k"), Answer(AnswerKind.SERVED, b"r"), 9.0)])))
+    writer = first.begin_keys()
+    writer.append(key_outcomes([((0, "k"), Answer(AnswerKind.SERVED, b"r"), 9.0)]))
+    assert first.read_keys() is None
+    writer.publish()
     assert second.read_keys() is None
     assert decode(first.read_keys() or b"", 0.0, 1) == [KeyOutcome(0, "k", "served", b"r", 0.0, 9.0)]
     assert all(path.parent == tmp_path for path in tmp_path.rglob("*"))
--- /dev/null
+++ b/tests/test_key_publishing.py
@@ -0,0 +1,189 @@
+"""The idempotency keys of a process that ends are published before it is killed, however many there are."""
+
+from __future__ import annotations
+
+import subprocess
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from myrtlespar.fakes import ServerProcess, ThriftClient, server_process, until
+from myrtlespar.state_machines.process import ProcessAction, ProcessLifecycle, ProcessState
+from tests.conftest import HandoverFolders
+from tests.request_classes import class_settings
+
+OPERATOR = '[idempotency]\nthrift_field = "key"\nremember_ms = 60000\nmost = 4096\n'
+TIMEOUT_MS = 6000.0  # the longest client timeout
+HANDOVER_S = 3.7  # from SIGTERM to SIGKILL in a hand-over: that timeout, 3 s at most, and 0.7 s
+SLOW = b"ms=60000 slow"
+CONNECTIONS = 4
+
+# Each key takes some ms of CPU time to write, as with a small share of a core.
+SLOW_KEYS_SCRIPT = """import os, runpy, sys, time
+sys.path.insert(0, os.getcwd())
+import myrtlespar.handover.keys_file as keys_file
+encode_row = keys_file._encode_row
+def slow(*args):
+    end = time.perf_counter() + {ms_per_key} / 1000
+    while time.perf_counter() < end:
+        pass
+    return encode_row(*args)
+keys_file._encode_row = slow
+sys.argv[:] = ["myrtlespar"]
+runpy.run_module("myrtlespar", run_name="__main__")
+"""
+
+
+def kill_in(process: subprocess.Popen[str], seconds: float) -> threading.Timer:
+    """Send SIGTERM to a process, and SIGKILL after this time, as the platform does."""
+    kill = threading.Timer(seconds, process.kill)
+    process.terminate()
+    kill.start()
+    return kill
+
+
+def body_of(number: int) -> bytes:
+    return b"ms=1 order %d" % number
+
+
+def run_orders(port: int, count: int) -> None:
+    """Have the server run orders with the keys `k-0`, `k-1` and so on."""
+
+    def run(numbers: range) -> None:
+        client = ThriftClient(port)
+        for number in numbers:
+            until(lambda: client.ask("order", body_of(number), key=f"k-{number}")[0] == "success")  # noqa: B023
+
+    threads = [threading.Thread(target=run, args=(range(n, count, CONNECTIONS),)) for n in range(CONNECTIONS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@contextmanager
+def process_with_keys(folders: HandoverFolders, keys: int, ms_per_key: float, stop_ms: int) -> Iterator[ServerProcess]:
+    """A process that has run this many orders, writes keys slowly, and has an unanswered request."""
+    script = folders.old / "slow.py"
+    script.write_text(SLOW_KEYS_SCRIPT.format(ms_per_key=ms_per_key))
+    with server_process(folders.old, start=str(script), given=given(stop_ms), **shared(folders)) as old:
+        run_orders(old.ports[0], keys)
+        slow = ThriftClient(old.ports[0])
+        slow.send("order", SLOW, key="k-slow")
+        until(lambda: old.engine.starts_by_body[SLOW], "the slow run")
+        yield old
+        assert until(lambda: slow.answers, "the answer to the slow request") == {1: ("failed", slow.answers[1][1])}
+
+
+def given(stop_ms: int) -> dict[str, Any]:
+    return {"stop_ms": stop_ms, "settings": class_settings(("order", "single_shot", TIMEOUT_MS))}
+
+
+def shared(folders: HandoverFolders) -> dict[str, Any]:
+    return {"mgmt": True, "shared": folders.shared, "operator": OPERATOR}
+
+
+def assert_repeats_get_their_outcome(new: ServerProcess, keys: int, expected_keys: int) -> None:
+    until(lambda: new.event(f"hand-over taken: {expected_keys} keys"), "the keys received")
+    client = ThriftClient(new.ports[0])
+    for number in {0, keys // 2, keys - 1}:
+        assert client.ask("order", body_of(number), key=f"k-{number}", again="1")[0] == "success"
+    assert client.ask("order", SLOW, key="k-slow", again="1")[0] == "failed"
+    assert not new.engine.starts_by_body
+
+
+@pytest.mark.parametrize(("keys", "ms_per_key"), [(20, 10.0), (300, 2.0), (1200, 0.5), (100, 12.0)])
+def test_a_replaced_process_publishes_its_keys_before_the_kill(
+    handover_folders: HandoverFolders, keys: int, ms_per_key: float
+) -> None:
+    """Guards against keys that are written only after the last answer: the kill came first, and orders ran twice."""
+    with process_with_keys(handover_folders, keys, ms_per_key, stop_ms=8000) as old:
+        listen = f"127.0.0.1:{old.ports[0]}"
+        with server_process(handover_folders.new, listen=listen, given=given(8000), **shared(handover_folders)) as new:
+            kill = kill_in(old.process, HANDOVER_S)
+            old.process.wait(20)
+            kill.cancel()
+            assert_repeats_get_their_outcome(new, keys, keys + 1)
+
+
+@pytest.mark.parametrize(("keys", "ms_per_key", "stop_ms"), [(150, 4.0, 1000), (300, 2.0, 2000), (400, 4.0, 3200)])
+def test_a_process_without_a_replacement_publishes_its_keys_before_its_stop_time(
+    handover_folders: HandoverFolders, keys: int, ms_per_key: float, stop_ms: int
+) -> None:
+    """Guards against the same in a graceful shutdown, whose keys are for the next process."""
+    with process_with_keys(handover_folders, keys, ms_per_key, stop_ms) as old:
+        kill = kill_in(old.process, stop_ms / 1000.0)
+        old.process.wait(20)
+        kill.cancel()
+        with server_process(handover_folders.new, given=given(stop_ms), **shared(handover_folders)) as new:
+            assert_repeats_get_their_outcome(new, keys, keys + 1)
+
+
+def test_a_client_that_never_stops_sending_does_not_hold_up_the_keys(handover_folders: HandoverFolders) -> None:
+    """Guards against a hand-over that stays open until the kill, as there is always another request to answer."""
+    with server_process(handover_folders.old, given=given(8000), **shared(handover_folders)) as old:
+        run_orders(old.ports[0], 50)
+        clients = [ThriftClient(old.ports[0]) for _ in range(8)]
+        ended = threading.Event()
+
+        def flood(client: ThriftClient) -> None:
+            """Keep four requests open: send another one for each answer, like a client that ignores `shutdown`."""
+            unanswered: list[int] = []
+            try:
+                while not ended.is_set() and not client.ended.is_set():
+                    unanswered = [seq for seq in unanswered if seq not in client.answers]
+                    unanswered += [client.send("order", b"ms=300 flood") for _ in range(4 - len(unanswered))]
+                    client.ended.wait(0.002)
+            except OSError:
+                pass
+
+        listen = f"127.0.0.1:{old.ports[0]}"
+        with server_process(handover_folders.new, listen=listen, given=given(8000), **shared(handover_folders)) as new:
+            floods = [threading.Thread(target=flood, args=(client,), daemon=True) for client in clients]
+            for thread in floods:
+                thread.start()
+            until(lambda: old.engine.starts_by_body[b"ms=300 flood"], "a run of the flood")
+            kill = kill_in(old.process, HANDOVER_S)
+            old.process.wait(20)
+            kill.cancel()
+            ended.set()
+            assert sum(client.seq for client in clients) > 2 * 4 * len(clients)  # they went on for more than one round
+            until(lambda: new.event("hand-over taken: 50 keys"), "the keys received")
+
+
+def new_lifecycle() -> ProcessLifecycle:
+    return ProcessLifecycle(stop_ms=3000.0, grace_ms=1000.0, overdue_check_ms=50.0, flush_ms=300.0, crossing_ms=50.0)
+
+
+def test_answers_are_due_early_enough_for_the_keys_that_are_unwritten() -> None:
+    process = new_lifecycle()
+    process.handover(0.0, 3700.0)
+    assert process.answer_deadline(4) == 3600.0
+    process.publish_reserve_ms = 100.0
+    process.average_key_ms = 0.5
+    process.unwritten_keys = 996
+    assert process.answer_deadline(4) == 2500.0
+    process.unwritten_keys = 0
+    assert process.answer_deadline(0) == 3500.0
+
+
+def test_each_stage_ends_in_time_for_the_keys_although_requests_keep_coming() -> None:
+    process = new_lifecycle()
+    process.begin_graceful_shutdown(0.0)
+    process.average_key_ms = 0.5
+    process.unwritten_keys = 1990
+    assert process.poll(849.0, unanswered=10) == ()
+    assert process.poll(851.0, unanswered=10) == (ProcessAction.CLOSE_LISTENERS, ProcessAction.ASK_CLIENTS)
+    assert process.poll(900.0, unanswered=10) == ()
+    assert process.poll(901.0, unanswered=10) == (ProcessAction.FLUSH,)
+    assert process.state == ProcessState.FLUSHING
+
+
+def test_requests_that_cross_the_close_are_awaited_also_with_little_time() -> None:
+    process = new_lifecycle()
+    process.handover(0.0, 120.0)
+    assert process.poll(49.0, unanswered=1) == ()
+    assert process.poll(50.0, unanswered=1) == (ProcessAction.FLUSH,)
