--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -71,7 +71,7 @@
         ("net.engine_client", "EngineClient", "_connect", "kernel"),
         ("net.dependency_client", "DependencyCalls", "expire", "store"),
         ("net.registry_client", "RegistryClient", "_report", "roster"),
-        ("net.listener", "Listener", "_close_silent", "thrift.look"),
+        ("net.listener", "Listener", "_check_unfinished", "thrift.look"),
     ],
 )
 def test_a_component_that_runs_forever_continues_after_an_exception(
