A replacement that ends before it has the keys publishes none

What callers saw: with a replacement started and ended again, an order could run a second time at the next replacement. Cause: every ending process wrote its keys; one that still waited for them wrote an empty file, which the next replacement took for the keys of the process that still ran. Change: only a process that has taken the keys of the one before it publishes. Until then it runs no request with a key. Why it works: the file stands for the keys of all processes before, and such a process does not know them.

--- a/myrtlespar/handover/driver.py
+++ b/myrtlespar/handover/driver.py
@@ -57,11 +57,19 @@
 
     def begin_publishing(self) -> None:
         """Begin to write the outcomes of the idempotency keys, as the process ends soon."""
-        self._publisher.start()
+        if self._receiver.state is HandoverState.OPEN:
+            self._publisher.start()
 
     def publish_keys(self) -> None:
-        """Publish the outcomes of the idempotency keys for the replacement; a failure is logged and not raised."""
-        self._publisher.publish()
+        """Publish the outcomes of the idempotency keys for the replacement; a failure is logged and not raised.
+
+        A process that still waits for keys itself has run no request with a key. It publishes nothing: an empty file
+        would stand for the keys of the process that it waits for.
+        """
+        if self._receiver.state is HandoverState.OPEN:
+            self._publisher.publish()
+        else:
+            log.info("no idempotency keys to write: those of the previous process have not arrived")
 
     def _wait_for_old_process(self) -> None:
         """Wait for the keys, then take the lock once the old process has ended.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -322,3 +322,23 @@
         assert new.event("hand-over taken: 1 keys") is not None
         assert ThriftClient(new.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
         assert new.engine.starts_by_body[b"ms=5 once"] == 0
+
+
+def test_a_replacement_that_ends_before_it_has_the_keys_publishes_none(
+    tmp_path: Path, handover_folders: HandoverFolders
+) -> None:
+    """Guards against an empty file of a waiting process: the next one took it for the keys of the running process."""
+    third_folder = tmp_path / "third"
+    third_folder.mkdir()
+    shared = {"mgmt": True, "shared": handover_folders.shared, "operator": KEYS_ENABLED}
+    with server_process(handover_folders.old, **shared) as old:
+        listen = f"127.0.0.1:{old.ports[0]}"
+        assert ThriftClient(old.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        with server_process(handover_folders.new, listen=listen, **shared) as waiting:
+            assert waiting.stop() == 0
+        with server_process(third_folder, listen=listen, **shared) as third:
+            assert third.event("an old process lives: keys wait for its hand-over") is not None
+            assert old.stop() == 0
+            until(lambda: third.event("hand-over taken: 1 keys"), "the keys received")
+            assert ThriftClient(third.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+            assert third.engine.starts_by_body[b"ms=5 once"] == 0
