Keys are published also by a process that ends in its start or after an internal failure

What callers saw: after SIGTERM during a start, or an exit with status 1, an order sent again with its key ran again. Cause: only the last stage of a shutdown published keys. The start had taken the file of the process before, which removes it; the other ways out of server/main.py left none. Change: both publish the keys before the process ends. Why it works: at either place no request is read or started any more, so the table is final.

--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -106,6 +106,11 @@
         if self.key_handover is not None:
             self.key_handover.begin_publishing()
 
+    def publish_keys(self) -> None:
+        """Publish the idempotency keys for the next process. No request may be read any more."""
+        if self.key_handover is not None:
+            self.key_handover.publish_keys()
+
     def leave_fleet(self) -> None:
         """Announce to the other members that this server leaves, if it is in a fleet."""
         if self.fleet is not None:
--- a/myrtlespar/server/main.py
+++ b/myrtlespar/server/main.py
@@ -42,10 +42,15 @@
     if coordinator.draining:  # no client could connect yet, so nothing is unanswered
         log.info("shutdown signal during the start; ending")
         signal_handlers.ignore_further_signals()
+        application.publish_keys()  # those of the previous process, whose file is removed once it is read
         application.close_fleet()
         return EXIT_OK
     application.start()
-    ShutdownSequence(application, output).run()
+    try:
+        ShutdownSequence(application, output).run()
+    except Exception:
+        application.publish_keys()
+        raise
     coordinator.stop()
     signal_handlers.ignore_further_signals()
     application.close_fleet()
--- a/myrtlespar/server/shutdown.py
+++ b/myrtlespar/server/shutdown.py
@@ -55,8 +55,7 @@
         # Reading ends before the keys are written: the key of a request read later would be missing in the replacement.
         for front in application.fronts:
             front.end()
-        if application.key_handover is not None:
-            application.key_handover.publish_keys()
+        application.publish_keys()
         timeout_s = self._flush_timeout_s()
         gevent.joinall([gevent.spawn(front.finish, timeout_s) for front in application.fronts], timeout_s)
         self._stopped = ProcessAction.STOP in self._process.handle(ProcessEvent.FLUSHED)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -25,6 +25,17 @@
 from tests.request_classes import KEYED_SETTINGS
 
 KEYS_ENABLED = '[idempotency]\nthrift_field = "key"\n'
+COORDINATOR_FAILS = """import os, runpy, sys
+sys.path.insert(0, os.getcwd())
+from myrtlespar.request_coordinator import RequestCoordinator
+process_batch = RequestCoordinator._process_batch
+def failing(self):
+    assert self.counters.report().get("in.request.thrift", 0) < 2, "raised by the test"
+    process_batch(self)
+RequestCoordinator._process_batch = failing
+sys.argv[:] = ["myrtlespar"]
+runpy.run_module("myrtlespar", run_name="__main__")
+"""
 MAX_REQUESTS_PER_THREAD = 2000  # upper bound; the load is normally stopped much sooner
 CONNECT_INTERVAL_S = 0.008  # between connections, while a process that will fail to start runs
 MAX_CONNECTIONS = 400  # until that process ends
@@ -342,3 +353,45 @@
             until(lambda: third.event("hand-over taken: 1 keys"), "the keys received")
             assert ThriftClient(third.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
             assert third.engine.starts_by_body[b"ms=5 once"] == 0
+
+
+def test_a_process_that_ends_during_its_start_leaves_the_keys_for_the_next_one(
+    tmp_path: Path, handover_folders: HandoverFolders
+) -> None:
+    """Guards against keys that are read, which removes their file, and lost as SIGTERM ends the start."""
+    gate = Gate(tmp_path, "myrtlespar.server.signal_handlers:SignalHandlers.__init__")
+    third_folder = tmp_path / "third"
+    third_folder.mkdir()
+    shared = {"mgmt": True, "shared": handover_folders.shared, "operator": KEYS_ENABLED}
+    with server_process(handover_folders.old, **shared) as old:
+        assert ThriftClient(old.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        assert old.stop() == 0
+    with server_process(handover_folders.new, start=gate.start, wait=False, **shared) as ended:
+        gate.wait_until_reached(ended)
+        assert ended.event("hand-over taken: 1 keys") is not None
+        ended.process.terminate()
+        gate.open()
+        assert ended.process.wait(20) == 0
+        assert ended.event("shutdown signal during the start; ending") is not None
+    with server_process(third_folder, **shared) as third:
+        assert third.event("hand-over taken: 1 keys") is not None
+        assert ThriftClient(third.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        assert third.engine.starts_by_body[b"ms=5 once"] == 0
+
+
+def test_a_process_that_ends_after_an_internal_failure_leaves_its_keys(
+    tmp_path: Path, handover_folders: HandoverFolders
+) -> None:
+    """Guards against keys that are lost with a process which ends itself: its orders ran again at the next one."""
+    script = tmp_path / "failing.py"
+    script.write_text(COORDINATOR_FAILS)
+    shared = {"mgmt": True, "shared": handover_folders.shared, "operator": KEYS_ENABLED}
+    with server_process(handover_folders.old, start=str(script), **shared) as old:
+        client = ThriftClient(old.ports[0])
+        assert client.ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        client.send("fetch", b"ms=1")
+        assert old.process.wait(20) == 1
+    with server_process(handover_folders.new, **shared) as new:
+        assert new.event("hand-over taken: 1 keys") is not None
+        assert ThriftClient(new.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
+        assert new.engine.starts_by_body[b"ms=5 once"] == 0
