A replacement waits until the keys of a killed old process have expired

What callers saw: when the old process of a replacement is killed before its hand-over, an order that it had run runs again at once at the new process. Cause: the receiver took the end of the old process without a file for the proof that there are no keys. Change: handover/driver.py rejects requests with a key for as long as an outcome is cached, from the end of an old process that it has seen. A start that sees no old process opens at once, as before. Why it works: by then every key of the old process has expired, so no repeat of its orders is due any more.

--- a/myrtlespar/handover/driver.py
+++ b/myrtlespar/handover/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 import gevent
@@ -16,22 +17,29 @@
 
 log = structlog.get_logger()
 POLL_INTERVAL_S = 0.05  # between two reads of the folder while the old process runs
+NEVER = -math.inf  # a time in Unix milliseconds
 UNUSABLE_INTERVAL_S = 1.0  # between two attempts to take the lock when its file can't be opened
 
 
 @dataclass(frozen=True, slots=True)
 class FolderContent:
-    """The result of one read of the shared folder."""
+    """The result of one read of the shared folder.
 
-    keys_data: bytes | None  # the hand-over file; None if there is none
-    old_process_alive: bool
+    Attributes:
+        keys_data: The hand-over file; None if there is none.
+        old_keys_valid: Whether an old process may run, or keys that it has not handed over may not have expired.
+    """
+
+    keys_data: bytes | None
+    old_keys_valid: bool
 
 
 class KeyHandover:
     """Receives the keys that the previous process published, and publishes those of this process at its end.
 
-    While the folder can't be used, an old process may run undetected. Requests with a key are then rejected for as long
-    as an outcome is cached (`limits.idempotency_key_ms`), because they could run a second time.
+    While the folder can't be used, an old process may run undetected; and one that was killed has not handed over its
+    keys. Requests with a key are then rejected for as long as an outcome is cached (`limits.idempotency_key_ms`),
+    because they could run a second time.
     """
 
     def __init__(self, coordinator: RequestCoordinator, folder: HandoverFolder) -> None:
@@ -39,7 +47,8 @@
         self._folder = folder
         self._receiver = HandoverReceiver(HandoverState.WAITING)
         self._publisher = KeyPublisher(coordinator, folder)
-        self._started_at = unix_ms()
+        self._unusable_until = unix_ms() + coordinator.limits.idempotency_key_ms  # if the folder can't be used
+        self._old_keys_expire_at = NEVER  # for an old process that was seen; it may still run while this is infinite
         self._ends = False  # whether this process was told to end; it replaces no other one then
 
     def start(self) -> None:
@@ -124,13 +133,13 @@
         rejection_before = self._receiver.rejection
         now = wall_ms()
         class_count = len(self._coordinator.settings.classes)
-        received = self._receiver.poll(content.old_process_alive, content.keys_data, now, class_count)
+        received = self._receiver.poll(content.old_keys_valid, content.keys_data, now, class_count)
         if received.log_message:
             log.info(received.log_message)
         if self._receiver.rejection != rejection_before:
             self._coordinator.counters.add("handover.refused")
-            # Without a usable file, requests with a key may run as soon as the old process has ended.
-            self._receiver.poll(content.old_process_alive, None, now, class_count)
+            # Without a usable file, requests with a key may run once the keys of the old process have expired.
+            self._receiver.poll(content.old_keys_valid, None, now, class_count)
         for outcome in received.outcomes:
             self._coordinator.tracker.keys.import_outcome(
                 (outcome.class_index, outcome.key), answer_of(outcome), from_wall(outcome.expires_at)
@@ -140,11 +149,19 @@
         """Read the folder; a failure is logged, counted, and treated as an old process that may still run."""
         try:
             # The lock is tried before the file is read, as an old process writes the file before it releases the lock.
-            old_process_alive = not self._acquire_lock()
-            return FolderContent(self._folder.read_keys(), old_process_alive)
+            self._watch_old_process()
+            return FolderContent(self._folder.read_keys(), unix_ms() < self._old_keys_expire_at)
         except OSError as error:
             self._count_unusable(error)
-            return FolderContent(None, unix_ms() < self._started_at + self._coordinator.limits.idempotency_key_ms)
+            return FolderContent(None, unix_ms() < max(self._unusable_until, self._old_keys_expire_at))
+
+    def _watch_old_process(self) -> None:
+        """Try the lock, and determine until when keys of an old process that holds or held it are valid."""
+        if not self._acquire_lock():
+            self._old_keys_expire_at = math.inf
+        elif self._old_keys_expire_at == math.inf:
+            self._old_keys_expire_at = unix_ms() + self._coordinator.limits.idempotency_key_ms
+            log.info("the old process has ended")
 
     def _count_unusable(self, error: OSError) -> None:
         if self._coordinator.counters.count_and_sample("handover.unusable"):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,10 +5,12 @@
 import json
 import os
 import select
+import signal
 import socket
 import subprocess
 import sys
 import threading
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -395,3 +397,31 @@
         assert new.event("hand-over taken: 1 keys") is not None
         assert ThriftClient(new.ports[0]).ask("order", b"ms=5 once", key="k-1")[0] == "success"
         assert new.engine.starts_by_body[b"ms=5 once"] == 0
+
+
+def test_a_replacement_of_a_killed_process_runs_no_order_while_its_keys_are_valid(
+    handover_folders: HandoverFolders,
+) -> None:
+    """Guards against taking the end of a process without a file for a proof that no order has run."""
+    shared = {"mgmt": True, "shared": handover_folders.shared, "given": KEYED_SETTINGS}  # keys are valid for 3 s
+    with server_process(handover_folders.old, **shared) as old:
+        listen = f"127.0.0.1:{old.ports[0]}"
+        with server_process(handover_folders.new, listen=listen, **shared) as new:
+            old_client = next(
+                client
+                for client in (ThriftClient(old.ports[0]) for _ in range(200))
+                if client.ask("booking", b"seat 1", token="t")[0] == "success"  # the new one refuses it
+            )
+            assert old.engine.starts_by_body[b"seat 1"] == 1
+            old.process.kill()
+            assert old.process.wait(20) == -signal.SIGKILL
+            killed_at = time.monotonic()
+            gone = ("the old process has ended", "the old process is gone; keys open without its hand-over")
+            until(lambda: any(new.event(name) for name in gone), "the end of the old process seen")
+            assert old_client.ended.wait(20)
+            client = connect_when_listening(new.ports[0])
+            assert client.ask("booking", b"seat 1", token="t", again="1")[0] == "refused"
+            assert client.ask("tide", b"ms=1")[0] == "success"  # a request without a key
+            until(lambda: client.ask("booking", b"seat 2", token="u")[0] == "success", "an accepted key")
+            assert time.monotonic() - killed_at > 2.9
+            assert new.engine.starts_by_body[b"seat 1"] == 0
