A connection with the first four bytes of a message is not taken for idle

What callers saw: a connection that paused right behind the length of a frame was closed for a new one, or early. Cause: the read of the length took its bytes out of the buffer that tells an idle connection from a half message. Change: SocketReader.peek_exactly leaves them there until the message is whole; Thrift frames and AJP packets use it. Why it works: what has arrived of a message is in the buffer until all of it is.

--- a/myrtlespar/net/ajp_front.py
+++ b/myrtlespar/net/ajp_front.py
@@ -115,11 +115,11 @@
         self._close_after_reading()
 
     def _read_packet(self) -> bytes:
-        head = self.reader.read_exactly(codec.PACKET_HEAD_BYTES)
+        head = self.reader.peek_exactly(codec.PACKET_HEAD_BYTES)
         size = int.from_bytes(head[2:], "big")
         if head[:2] != codec.TO_SERVLET or size + codec.PACKET_HEAD_BYTES > self.limits.max_ajp_packet_bytes:
             raise codec.MalformedPacketError(f"invalid packet header {head.hex()}")
-        return self.reader.read_exactly(size)
+        return self.reader.read_exactly(codec.PACKET_HEAD_BYTES + size)[codec.PACKET_HEAD_BYTES :]
 
     def _handle_packet(self, payload: bytes) -> None:
         kind = payload[0] if payload else 0
--- a/myrtlespar/net/socket_reader.py
+++ b/myrtlespar/net/socket_reader.py
@@ -45,12 +45,22 @@
         Raises:
             ConnectionEndedError: The connection ended first.
         """
-        while len(self._data) < size:
-            self._fill()
-        out = bytes(self._data[:size])
+        out = self.peek_exactly(size)
         del self._data[:size]
         return out
 
+    def peek_exactly(self, size: int) -> bytes:
+        """Return `size` bytes that the next read returns again.
+
+        Until the rest of their message has arrived, they still count as buffered.
+
+        Raises:
+            ConnectionEndedError: The connection ended first.
+        """
+        while len(self._data) < size:
+            self._fill()
+        return bytes(self._data[:size])
+
     def read_line(self) -> bytes:
         """Return the bytes up to the next LF, without it.
 
--- a/myrtlespar/net/thrift_front.py
+++ b/myrtlespar/net/thrift_front.py
@@ -115,10 +115,10 @@
         self._close_after_reading()
 
     def _read_frame(self) -> bytes:
-        size = int.from_bytes(self.reader.read_exactly(LENGTH_BYTES), "big")
+        size = int.from_bytes(self.reader.peek_exactly(LENGTH_BYTES), "big")
         if not 0 < size <= self.front.limits.max_frame_bytes:
             raise MalformedMessageError(f"frame length {size} is zero or over the limit")
-        return self.reader.read_exactly(size)
+        return self.reader.read_exactly(LENGTH_BYTES + size)[LENGTH_BYTES:]
 
     def _report_malformed(self, error: MalformedMessageError) -> None:
         """Log a malformed message, and answer it with an exception if it is a call.
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -189,3 +189,21 @@
         until(lambda: ThriftClient(running.ports[0]).ended.wait(0.1) is False, "room for a new connection")
         until(lambda: sum(client.ended.is_set() for client in clients) >= 1, "the end of a stalled connection")
         assert running.counters()["in.unfinished.thrift"] >= 1
+
+
+@pytest.mark.parametrize("sent_bytes", [1, 4, 5])
+def test_a_connection_with_the_first_bytes_of_a_request_is_not_closed_for_a_new_one(
+    tmp_path: Path, sent_bytes: int
+) -> None:
+    """Guards against a connection that counts as idle because exactly the length of a frame has arrived."""
+    with server_process(tmp_path, sockets=64) as running:
+        clients = [ThriftClient(running.ports[0]) for _ in range(11)]  # the maximum number
+        for client in clients:
+            assert client.answer(client.send_message("ping", full=False))
+        rest = begin_request(clients[0], "fetch", b"ms=5", sent_bytes)  # idle for the longest time but for these bytes
+        until(lambda: clients[1].answer(clients[1].send_message("ping", full=False)))
+        assert ThriftClient(running.ports[0]).ask("fetch", b"ms=5")[0] == "success"
+        assert clients[2].ended.wait(20)
+        clients[0].sock.sendall(rest)
+        assert clients[0].answer(clients[0].seq)[0] == "success"
+        assert running.counters()["in.idle_closed.thrift"] == 1
