--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -14,6 +14,7 @@
     server_process,
     until,
 )
+from tests.conftest import HandoverFolders
 
 
 def test_a_reload_under_load_moves_every_link_and_loses_nothing(server: ServerProcess) -> None:
@@ -70,8 +71,12 @@
         old_engine.down()
 
 
-def test_a_reload_during_a_hand_over_moves_the_links_on_which_runs_end(tmp_path: Path) -> None:
-    with server_process(tmp_path, mgmt=True) as running:
+def test_a_reload_during_a_hand_over_moves_the_links_on_which_runs_end(handover_folders: HandoverFolders) -> None:
+    shared = {"mgmt": True, "shared": handover_folders.shared}
+    with (
+        server_process(handover_folders.old, **shared) as running,
+        server_process(handover_folders.new, **shared),  # the replacement, without which SIGTERM is no hand-over
+    ):
         client = ThriftClient(running.ports[0])
         running.dependency.script = ["hang"]
         seq = client.send("order", b"calls=1")
