Keys file: the header is its first line; listener: one close that counts

Cause: decode found the end of the header a second way beside the loop over lines, with a branch for a file without one; the closes of an idle and of a stalled connection were two copies with different counters. Change: decode takes the header from the same lines; both closes call one function. Behaviour as before.

--- a/myrtlespar/handover/keys_file.py
+++ b/myrtlespar/handover/keys_file.py
@@ -115,13 +115,12 @@
     Raises:
         HandoverRejectedError: The file is not complete and valid.
     """
-    header_end = data.find(b"\n") + 1
-    if not header_end:
-        header_end = len(data)
-    _check_header(data[:header_end].rstrip(b"\n"), memoryview(data)[header_end:])
+    lines = _lines(data)
+    header = next(lines, b"")
+    _check_header(header, memoryview(data)[len(header) + 1 :])
     outcomes: list[KeyOutcome] = []
     try:
-        for line in _lines(data, header_end):
+        for line in lines:
             outcome = _decode_row(line, now, class_count)
             if outcome is not None:
                 outcomes.append(outcome)
@@ -142,8 +141,9 @@
     return json.dumps(row).encode() + b"\n"
 
 
-def _lines(data: bytes, start: int) -> Iterator[bytes]:
-    """Yield the lines of a file from this position on, one at a time, as a file may be large."""
+def _lines(data: bytes) -> Iterator[bytes]:
+    """Yield the lines of a file one at a time, as all of them at once would double the memory of a large file."""
+    start = 0
     while start < len(data):
         end = data.find(b"\n", start)
         if end < 0:
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -154,9 +154,7 @@
 
     def close_idle(self, connection: ConnectionType) -> None:
         """Close an idle connection and count it."""
-        self.coordinator.counters.add(f"in.idle_closed.{self.name}")
-        self.connections.discard(connection)
-        connection.close()
+        self._close_and_count(connection, "idle_closed")
 
     def finish_answers(self, connection: ClientConnection) -> None:
         """Block until all requests of a connection that is no longer read are answered and the answers sent."""
@@ -224,7 +222,11 @@
         return max(timeout_ms, self.coordinator.settings.longest_client_timeout_ms)
 
     def _close_stalled(self, connection: ConnectionType) -> None:
-        self.coordinator.counters.add(f"in.unfinished.{self.name}")
+        """Close a connection that stopped within a message and count it."""
+        self._close_and_count(connection, "unfinished")
+
+    def _close_and_count(self, connection: ConnectionType, counter: str) -> None:
+        self.coordinator.counters.add(f"in.{counter}.{self.name}")
         self.connections.discard(connection)
         connection.close()
 
