--- a/myrtlespar/fakes/server_process.py
+++ b/myrtlespar/fakes/server_process.py
@@ -209,6 +209,20 @@
         self.process.terminate()
         return self.process.wait(WAIT_S)
 
+    def stop_within(self, seconds: float) -> int:
+        """Send SIGTERM, and SIGKILL after this time as the platform does.
+
+        Returns:
+            The exit status.
+        """
+        kill = threading.Timer(seconds, self.process.kill)
+        self.process.terminate()
+        kill.start()
+        try:
+            return self.process.wait(WAIT_S)
+        finally:
+            kill.cancel()
+
     def close(self) -> None:
         """Kill the program and close all fakes."""
         if self.process.poll() is None:
--- a/myrtlespar/fakes/thrift_client.py
+++ b/myrtlespar/fakes/thrift_client.py
@@ -68,6 +68,11 @@
 
     def send(self, method: str, body: bytes = b"", **fields: str) -> int:
         """Send a request and return its sequence number. `fields` override fields of the envelope."""
+        self.sock.sendall(self.encode_request(method, body, **fields))
+        return self.seq
+
+    def encode_request(self, method: str, body: bytes = b"", **fields: str) -> bytes:
+        """Return the bytes of a request with the next sequence number, as `send` sends them."""
         self.seq += 1
         given = {
             "method": method,
@@ -79,8 +84,7 @@
             **fields,
         }
         args = idl.Front.invoke_args(fields=given, body=body)
-        self.sock.sendall(encode("invoke", TMessageType.CALL, self.seq, args))
-        return self.seq
+        return encode("invoke", TMessageType.CALL, self.seq, args)
 
     def send_message(self, name: str, **args: Any) -> int:
         """Send a message of the protocol other than a request, and return its sequence number."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,11 +25,12 @@
 
 
 class HandoverFolders(NamedTuple):
-    """The folders of two processes of one server, the second of which replaces the first."""
+    """The folders of up to three processes of one server, each of which replaces the one before."""
 
-    shared: Path  # the `$TMPDIR` of both processes
+    shared: Path  # the `$TMPDIR` of all processes
     old: Path
     new: Path
+    third: Path
 
 
 @pytest.fixture
@@ -75,8 +76,8 @@
 
 @pytest.fixture
 def handover_folders(tmp_path: Path) -> HandoverFolders:
-    """Empty folders for an old process and its replacement."""
-    folders = HandoverFolders(tmp_path / "shared", tmp_path / "old", tmp_path / "new")
+    """Empty folders for an old process and its replacements."""
+    folders = HandoverFolders(*(tmp_path / name for name in HandoverFolders._fields))
     for folder in folders:
         folder.mkdir()
     return folders
--- a/tests/request_classes.py
+++ b/tests/request_classes.py
@@ -1,4 +1,4 @@
-"""Settings with particular request classes, for tests that run the server process."""
+"""Settings with particular request classes or with idempotency keys, for tests that run the server process."""
 
 from __future__ import annotations
 
@@ -25,3 +25,4 @@
 
 
 KEYED_SETTINGS = {"settings": class_settings(("tide", "free", 4000.0), ("booking", "guarded", 4000.0))}
+KEYS_ENABLED = '[idempotency]\nthrift_field = "key"\n'  # an operators' file
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import socket
 import struct
@@ -18,7 +17,6 @@
     server_process,
     until,
 )
-from myrtlespar.net.codec.thrift import encode, idl
 from tests.request_classes import class_settings
 
 
@@ -133,9 +131,7 @@
 
 def begin_request(client: ThriftClient, method: str, body: bytes, sent_bytes: int) -> bytes:
     """Send the first bytes of a request with the client's next sequence number, and return the rest."""
-    client.seq += 1
-    fields = {"method": method, "rid": os.urandom(8).hex(), "t0": str(int(time.time() * 1000)), "mem": "20.0"}
-    frame = encode("invoke", 1, client.seq, idl.Front.invoke_args(fields=fields, body=body))
+    frame = client.encode_request(method, body)
     client.sock.sendall(frame[:sent_bytes])
     return frame[sent_bytes:]
 
--- a/tests/test_connection_close.py
+++ b/tests/test_connection_close.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import threading
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -17,6 +16,7 @@
 from myrtlespar.resource_limits import ResourceLimits
 from myrtlespar.runtime.counters import Counters
 from tests.gates import Gate
+from tests.modified_programs import program_that_is_slow
 
 # Delays the callback that tells the reader of the close behind so much other work of the event loop that the reader
 # finds the request first.
@@ -115,33 +115,15 @@
 
 def test_a_shutdown_begins_early_enough_to_send_many_slow_answers(tmp_path: Path) -> None:
     """Each answer takes 5 ms of CPU time, as with a small share of a core; the process is killed at its stop time."""
-    (tmp_path / "slow.py").write_text("""import os, runpy, sys, time
-sys.path.insert(0, os.getcwd())
-from myrtlespar.net.thrift_front import ThriftConnection
-answer = ThriftConnection._answer
-def slow(*args):
-    end = time.perf_counter() + 0.005
-    while time.perf_counter() < end:
-        pass
-    answer(*args)
-ThriftConnection._answer = slow
-sys.argv[:] = ["myrtlespar"]
-runpy.run_module("myrtlespar", run_name="__main__")
-""")
+    start = program_that_is_slow(tmp_path, "net.thrift_front", "ThriftConnection", "_answer", cpu_ms=5.0)
     many = settings(classes=[{"name": "slow", "effect": "free", "aim_ms": 4000.0, "give_up_ms": 9000.0, "worth": 1.0}])
-    with server_process(
-        tmp_path, start=str(tmp_path / "slow.py"), given={"stop_ms": 2000, "settings": many}
-    ) as running:
+    with server_process(tmp_path, start=start, given={"stop_ms": 2000, "settings": many}) as running:
         clients = [ThriftClient(running.ports[0]) for _ in range(10)]
         assert all(clients[0].ask("slow", b"ms=1")[0] == "success" for _ in range(30))
         seqs = [(client, client.send("slow", b"ms=60000")) for client in clients for _ in range(30)]
         for client in clients:
             assert client.answer(client.send_message("ping", full=False))
-        kill = threading.Timer(2.0, running.process.kill)
-        running.process.terminate()
-        kill.start()
-        assert running.process.wait(20) == 0
-        kill.cancel()
+        assert running.stop_within(2.0) == 0
         assert all(client.ended.wait(20) and client.count[seq] == 1 for client, seq in seqs)
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,8 +5,6 @@
 import contextlib
 import signal
 import socket
-import subprocess
-import threading
 import time
 from pathlib import Path
 
@@ -104,14 +102,6 @@
         assert client.count[seq] == 1
 
 
-def kill_in(process: subprocess.Popen[str], seconds: float) -> threading.Timer:
-    """Send SIGTERM to a process, and SIGKILL after this time, as the platform does."""
-    kill = threading.Timer(seconds, process.kill)
-    process.terminate()
-    kill.start()
-    return kill
-
-
 @pytest.mark.parametrize(("stop_ms", "connections"), [(400, 1), (1200, 8), (2600, 3), (3200, 1)])
 def test_a_process_with_a_management_address_and_no_replacement_ends_before_its_stop_time(
     tmp_path: Path, stop_ms: int, connections: int
@@ -124,9 +114,7 @@
         for client in clients:
             assert client.answer(client.send_message("ping", full=False))
         until(lambda: running.engine.starts)
-        kill = kill_in(running.process, stop_ms / 1000.0)
-        assert running.process.wait(20) == 0
-        kill.cancel()
+        assert running.stop_within(stop_ms / 1000.0) == 0
         assert all(client.ended.wait(20) and client.count[seq] == 1 for client, seq in requests)
 
 
@@ -158,7 +146,7 @@
         assert running.process.wait(20) == 0
 
 
-def test_a_replacement_that_has_died_makes_no_handover(tmp_path: Path, handover_folders: HandoverFolders) -> None:
+def test_a_replacement_that_has_died_makes_no_handover(handover_folders: HandoverFolders) -> None:
     """Guards against counting a replacement that no longer runs: its old process has `stop_ms` only."""
     shared = {"mgmt": True, "shared": handover_folders.shared}
     with server_process(handover_folders.old, given={"stop_ms": 1500}, **shared) as old:
@@ -168,15 +156,13 @@
         client = ThriftClient(old.ports[0])
         seq = client.send("render", b"ms=5000")
         until(lambda: old.engine.starts)
-        kill = kill_in(old.process, 1.5)
-        assert old.process.wait(20) == 0
-        kill.cancel()
+        assert old.stop_within(1.5) == 0
         assert client.ended.wait(20)
         assert client.count[seq] == 1
         assert (old.event("termination requested") or {})["replacement"] == "absent"
 
 
-def test_a_replacement_that_is_told_to_end_has_none_itself(tmp_path: Path, handover_folders: HandoverFolders) -> None:
+def test_a_replacement_that_is_told_to_end_has_none_itself(handover_folders: HandoverFolders) -> None:
     """Guards against a waiting process that takes its own announcement for that of another one."""
     shared = {"mgmt": True, "shared": handover_folders.shared}
     with (
@@ -196,9 +182,7 @@
         client = ThriftClient(running.ports[0])
         seq = client.send("slow", b"ms=60000")
         until(lambda: running.engine.starts)
-        kill = kill_in(running.process, 3.7)
-        assert running.process.wait(20) == 0
-        kill.cancel()
+        assert running.stop_within(3.7) == 0
         assert client.ended.wait(20)
         assert client.count[seq] == 1
         assert (running.event("termination requested") or {})["replacement"] == "unknown"
--- a/tests/test_key_publishing.py
+++ b/tests/test_key_publishing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import subprocess
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -11,8 +10,8 @@
 import pytest
 
 from myrtlespar.fakes import ServerProcess, ThriftClient, server_process, until
-from myrtlespar.state_machines.process import ProcessAction, ProcessLifecycle, ProcessState
 from tests.conftest import HandoverFolders
+from tests.modified_programs import program_that_is_slow
 from tests.request_classes import class_settings
 
 OPERATOR = '[idempotency]\nthrift_field = "key"\nremember_ms = 60000\nmost = 4096\n'
@@ -21,29 +20,6 @@
 SLOW = b"ms=60000 slow"
 CONNECTIONS = 4
 
-# Each key takes some ms of CPU time to write, as with a small share of a core.
-SLOW_KEYS_SCRIPT = """import os, runpy, sys, time
-sys.path.insert(0, os.getcwd())
-import myrtlespar.handover.keys_file as keys_file
-encode_row = keys_file._encode_row
-def slow(*args):
-    end = time.perf_counter() + {ms_per_key} / 1000
-    while time.perf_counter() < end:
-        pass
-    return encode_row(*args)
-keys_file._encode_row = slow
-sys.argv[:] = ["myrtlespar"]
-runpy.run_module("myrtlespar", run_name="__main__")
-"""
-
-
-def kill_in(process: subprocess.Popen[str], seconds: float) -> threading.Timer:
-    """Send SIGTERM to a process, and SIGKILL after this time, as the platform does."""
-    kill = threading.Timer(seconds, process.kill)
-    process.terminate()
-    kill.start()
-    return kill
-
 
 def body_of(number: int) -> bytes:
     return b"ms=1 order %d" % number
@@ -66,10 +42,12 @@
 
 @contextmanager
 def process_with_keys(folders: HandoverFolders, keys: int, ms_per_key: float, stop_ms: int) -> Iterator[ServerProcess]:
-    """A process that has run this many orders, writes keys slowly, and has an unanswered request."""
-    script = folders.old / "slow.py"
-    script.write_text(SLOW_KEYS_SCRIPT.format(ms_per_key=ms_per_key))
-    with server_process(folders.old, start=str(script), given=given(stop_ms), **shared(folders)) as old:
+    """A process that has run this many orders and has an unanswered request.
+
+    It takes some ms of CPU time to write a key, as with a small share of a core.
+    """
+    start = program_that_is_slow(folders.old, "handover", "keys_file", "_encode_row", ms_per_key)
+    with server_process(folders.old, start=start, given=given(stop_ms), **shared(folders)) as old:
         run_orders(old.ports[0], keys)
         slow = ThriftClient(old.ports[0])
         slow.send("order", SLOW, key="k-slow")
@@ -103,9 +81,7 @@
     with process_with_keys(handover_folders, keys, ms_per_key, stop_ms=8000) as old:
         listen = f"127.0.0.1:{old.ports[0]}"
         with server_process(handover_folders.new, listen=listen, given=given(8000), **shared(handover_folders)) as new:
-            kill = kill_in(old.process, HANDOVER_S)
-            old.process.wait(20)
-            kill.cancel()
+            old.stop_within(HANDOVER_S)
             assert_repeats_get_their_outcome(new, keys, keys + 1)
 
 
@@ -115,9 +91,7 @@
 ) -> None:
     """Guards against the same in a graceful shutdown, whose keys are for the next process."""
     with process_with_keys(handover_folders, keys, ms_per_key, stop_ms) as old:
-        kill = kill_in(old.process, stop_ms / 1000.0)
-        old.process.wait(20)
-        kill.cancel()
+        old.stop_within(stop_ms / 1000.0)
         with server_process(handover_folders.new, given=given(stop_ms), **shared(handover_folders)) as new:
             assert_repeats_get_their_outcome(new, keys, keys + 1)
 
@@ -146,44 +120,7 @@
             for thread in floods:
                 thread.start()
             until(lambda: old.engine.starts_by_body[b"ms=300 flood"], "a run of the flood")
-            kill = kill_in(old.process, HANDOVER_S)
-            old.process.wait(20)
-            kill.cancel()
+            old.stop_within(HANDOVER_S)
             ended.set()
             assert sum(client.seq for client in clients) > 2 * 4 * len(clients)  # they went on for more than one round
             until(lambda: new.event("hand-over taken: 50 keys"), "the keys received")
-
-
-def new_lifecycle() -> ProcessLifecycle:
-    return ProcessLifecycle(stop_ms=3000.0, grace_ms=1000.0, overdue_check_ms=50.0, flush_ms=300.0, crossing_ms=50.0)
-
-
-def test_answers_are_due_early_enough_for_the_keys_that_are_unwritten() -> None:
-    process = new_lifecycle()
-    process.handover(0.0, 3700.0)
-    assert process.answer_deadline(4) == 3600.0
-    process.publish_reserve_ms = 100.0
-    process.average_key_ms = 0.5
-    process.unwritten_keys = 996
-    assert process.answer_deadline(4) == 2500.0
-    process.unwritten_keys = 0
-    assert process.answer_deadline(0) == 3500.0
-
-
-def test_each_stage_ends_in_time_for_the_keys_although_requests_keep_coming() -> None:
-    process = new_lifecycle()
-    process.begin_graceful_shutdown(0.0)
-    process.average_key_ms = 0.5
-    process.unwritten_keys = 1990
-    assert process.poll(849.0, unanswered=10) == ()
-    assert process.poll(851.0, unanswered=10) == (ProcessAction.CLOSE_LISTENERS, ProcessAction.ASK_CLIENTS)
-    assert process.poll(900.0, unanswered=10) == ()
-    assert process.poll(901.0, unanswered=10) == (ProcessAction.FLUSH,)
-    assert process.state == ProcessState.FLUSHING
-
-
-def test_requests_that_cross_the_close_are_awaited_also_with_little_time() -> None:
-    process = new_lifecycle()
-    process.handover(0.0, 120.0)
-    assert process.poll(49.0, unanswered=1) == ()
-    assert process.poll(50.0, unanswered=1) == (ProcessAction.FLUSH,)
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -7,27 +7,7 @@
 import pytest
 
 from myrtlespar.fakes import ServerProcess, ThriftClient, server_process, until
-
-FAILING_METHOD = """import os, runpy, sys
-sys.path.insert(0, os.getcwd())
-from myrtlespar.{module} import {owner} as owner
-real, raised = owner.{name}, []
-def failing(*args):
-    if {when}:
-        raised.append(1)
-        raise ZeroDivisionError("raised by the test")
-    return real(*args)
-owner.{name} = failing
-sys.argv[:] = ["myrtlespar"]
-runpy.run_module("myrtlespar", run_name="__main__")
-"""
-
-
-def program_that_fails(tmp: Path, module: str, owner: str, name: str, when: str) -> str:
-    """Write a start script of the server in which a method raises if the expression `when` over its `args` is true."""
-    path = tmp / "failing.py"
-    path.write_text(FAILING_METHOD.format(module=module, owner=owner, name=name, when=when))
-    return str(path)
+from tests.modified_programs import program_that_fails
 
 
 def assert_logged_and_counted(running: ServerProcess, event: str, counter: str) -> None:
