--- a/myrtlespar/fleet_tests/process_launcher.py
+++ b/myrtlespar/fleet_tests/process_launcher.py
@@ -31,6 +31,7 @@
 from myrtlespar.fleet_tests.script_model import Script
 from myrtlespar.fleet_tests.standstills import StandstillMonitor
 
+NOTICED_AT_ONCE = ("resume", "left")  # kinds of actions whose effect other members may notice at once
 SERVING_EVENT = "serving"
 LOG_POLL_S = 0.005
 MEMBERS_PER_CORE = 3  # used only if processes are pinned to cores
@@ -218,10 +219,10 @@
     def signal(self, member: MemberProcess, number: signal.Signals, kind: str) -> None:
         """Send a signal and record it as `kind`.
 
-        The recorded time of `resume` lies before the signal, as other members may notice the effect at once.
+        The recorded time of `resume` and `left` lies before the signal, as other members may notice the effect at once.
         """
         if member.process is not None and member.is_running:
-            at = time.time() * 1000 if kind == "resume" else 0.0
+            at = time.time() * 1000 if kind in NOTICED_AT_ONCE else 0.0
             member.process.send_signal(number)
             member.is_paused = kind == "pause" or (member.is_paused and kind != "resume")
             self.record(kind, member.name, at=at)
