Two processes of one server share its memory, runs and calls during a replacement

Cause: the policy of each process started from the whole capacity, and nothing told one what the other held. The same held for the runs that the cores survive and for the share of calls to the dependency. Change: the old process holds all and only gives up, to half beside a replacement and to what it needs once it ends (policy/server_share.py); it publishes that in $TMPDIR, and the replacement uses the rest. Stale reads err on the safe side. What the last runs of an ended process take stays reserved for one client timeout.

--- a/myrtlespar/handover/folder.py
+++ b/myrtlespar/handover/folder.py
@@ -1,9 +1,9 @@
 """The storage of a hand-over: the folder (`$TMPDIR`) that two processes of one server share.
 
 It contains a lock file that the running process locks, a second one that a replacement locks for as long as it waits
-for the first, and the file of keys that an old process writes for its replacement. Every method except `remove_keys`,
-`withdraw` and `replacement_status` may raise OSError: the folder can be missing or full, or contain something else
-under these names.
+for the first, and the file of keys that an old process writes for its replacement; `reservation_file` has two more.
+Every method except `remove_keys`, `withdraw` and `replacement_status` may raise OSError: the folder can be missing or
+full, or contain something else under these names.
 """
 
 from __future__ import annotations
@@ -18,11 +18,11 @@
 from pathlib import Path
 from urllib.parse import quote
 
+from myrtlespar.handover.file_lock import NO_DESCRIPTOR, lock_file
 from myrtlespar.handover.keys_writer import KeysFileWriter
 
 DEFAULT_MAX_KEYS_BYTES = 1 << 25
 MAX_NAME_CHARS = 128  # maximum length of a server's name within a file name
-NO_DESCRIPTOR = -1
 
 
 class ReplacementStatus(Enum):
@@ -52,20 +52,27 @@
         self.lock_path = Path(tmpdir) / f"{base}.lock"
         self.replacement_path = Path(tmpdir) / f"{base}.replacement"
         self.keys_path = Path(tmpdir) / f"{base}.keys"
+        self.reservation_path = Path(tmpdir) / f"{base}.capacity"
+        self.sharing_path = Path(tmpdir) / f"{base}.sharing"
         self._max_keys_bytes = max_keys_bytes
         self._lock_descriptor = NO_DESCRIPTOR
         self._announcement_descriptor = NO_DESCRIPTOR
 
+    @property
+    def holds_lock(self) -> bool:
+        """Whether this process holds the lock."""
+        return self._lock_descriptor != NO_DESCRIPTOR
+
     def acquire_lock(self) -> bool:
         """Take the lock without waiting. Returns False while another process holds it."""
         if self._lock_descriptor == NO_DESCRIPTOR:
-            self._lock_descriptor = _lock_file(self.lock_path, fcntl.LOCK_EX)
-        return self._lock_descriptor != NO_DESCRIPTOR
+            self._lock_descriptor = lock_file(self.lock_path, fcntl.LOCK_EX)
+        return self.holds_lock
 
     def announce(self) -> None:
         """Tell the process that holds the lock that this one is to replace it, until `withdraw` or the end."""
         if self._announcement_descriptor == NO_DESCRIPTOR:
-            self._announcement_descriptor = _lock_file(self.replacement_path, fcntl.LOCK_SH)
+            self._announcement_descriptor = lock_file(self.replacement_path, fcntl.LOCK_SH)
 
     def withdraw(self) -> None:
         """End the announcement of this process, if there is one."""
@@ -76,7 +83,7 @@
     def replacement_status(self) -> ReplacementStatus:
         """Return whether another process has announced itself."""
         try:
-            descriptor = _lock_file(self.replacement_path, fcntl.LOCK_EX)
+            descriptor = lock_file(self.replacement_path, fcntl.LOCK_EX)
         except OSError:
             return ReplacementStatus.UNKNOWN
         if descriptor == NO_DESCRIPTOR:
@@ -114,24 +121,6 @@
         return KeysFileWriter(self.keys_path)
 
 
-def _lock_file(path: Path, kind: int) -> int:
-    """Take an flock of this kind without waiting, and return its descriptor.
-
-    The lock is held until the descriptor is closed. Returns NO_DESCRIPTOR if another process holds a lock that excludes
-    this one.
-    """
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK, 0o600)
-    try:
-        fcntl.flock(descriptor, kind | fcntl.LOCK_NB)
-    except BlockingIOError:
-        os.close(descriptor)
-        return NO_DESCRIPTOR
-    except OSError:
-        os.close(descriptor)
-        raise
-    return descriptor
-
-
 def _file_name_part(name: str) -> str:
     """Return a server's name as part of a file name: without separators, and hashed if it would be too long."""
     quoted = quote(name, safe="")
--- a/myrtlespar/policy/concurrency_limit.py
+++ b/myrtlespar/policy/concurrency_limit.py
@@ -26,6 +26,7 @@
         on_cores: Runs that are on the cores or wait for one.
         at_calls: Runs that wait for a call to the dependency, off the cores.
         core_clock_ms: Core time that a run on the cores since the start of the server would have got.
+        reserved_fraction: Fraction of the started runs that is left to another process of this server.
     """
 
     def __init__(self, settings: Settings, cores: int, clock: PolicyClock, capacity: ServerCapacity) -> None:
@@ -37,6 +38,7 @@
         self.on_cores = 0
         self.at_calls = 0
         self.core_clock_ms = 0.0
+        self.reserved_fraction = 0.0
 
     def advance(self, step_ms: float) -> None:
         """Divide the core time of `step_ms` among the runs, without the time for which the process was stalled."""
@@ -52,6 +54,14 @@
             speed = min(1.0, settings.cold_from + (1 - settings.cold_from) * warmed)
         return (1 + (settings.fall_multiple - 1) * speed) * self._cores
 
+    def max_started_on_server(self) -> float:
+        """Return how many runs may be started and not ended, in all processes of this server together."""
+        return self.survivable_concurrency() * MAX_SURVIVABLE_FRACTION
+
+    def max_started(self) -> float:
+        """Return how many runs of this process may be started and not ended."""
+        return self.max_started_on_server() * (1.0 - self.reserved_fraction)
+
     def adjust(self, busy_fraction: float, is_work_waiting: bool) -> None:
         """Raise or lower the limit, given the fraction of the cores that was busy in the last tick."""
         if busy_fraction < IDLE_BELOW and is_work_waiting:
--- a/myrtlespar/policy/dependency_calls.py
+++ b/myrtlespar/policy/dependency_calls.py
@@ -10,6 +10,7 @@
 from myrtlespar.policy.fleet_port import FleetLimitsPort
 from myrtlespar.policy.held_request import CALLING, WAITING_FOR_CALL, HeldRequest
 from myrtlespar.policy.messages import Call, CallEnded, RunOutcome, SkipCall
+from myrtlespar.policy.server_share import NOTHING
 from myrtlespar.policy.server_state import ServerState
 from myrtlespar.policy.settings import Effect
 
@@ -27,6 +28,7 @@
         in_flight: Number of calls that were made and have not ended.
         mean_in_flight: Mean number of calls in flight, including abandoned ones that the dependency may still process.
         breaker: The circuit breaker of the dependency.
+        reserved: What is left to another process of this server.
         fleet: The limits of the whole fleet; None if there are none.
     """
 
@@ -48,8 +50,19 @@
         self.waiting: deque[HeldRequest] = deque()
         self.in_flight = 0
         self.mean_in_flight = 0.0
+        self.reserved = NOTHING
         self.fleet: FleetLimitsPort | None = None
 
+    @property
+    def server_share(self) -> float:
+        """The share of the dependency's calls of all processes of this server together; 0 if there is no limit."""
+        return 0.0 if math.isinf(self._share) else self._share
+
+    @property
+    def unfinished_calls(self) -> int:
+        """The number of calls that the dependency may be processing, abandoned ones included."""
+        return self.in_flight + len(self._lingering_until)
+
     def advance(self, step_ms: float) -> None:
         """Advance by `step_ms`: update the mean, and forget abandoned calls whose linger time has passed."""
         lingering = self._lingering_until
@@ -167,9 +180,11 @@
         The number of calls in flight may reach the share, or `max_at_once` if that is more; abandoned calls count until
         the dependency has dropped them. Their mean must stay well below the share, as with a mean at the share all
         servers together could reach the dependency's limit.
+        Both limits hold for all processes of this server together.
         """
-        calls = self.in_flight + len(self._lingering_until)
-        return calls < max(max_at_once, self._share) and self.mean_in_flight < MAX_MEAN_FRACTION * self._share
+        max_calls = max(max_at_once, self._share) - self.reserved.calls
+        max_mean = MAX_MEAN_FRACTION * self._share - self.reserved.mean_calls
+        return self.unfinished_calls < max_calls and self.mean_in_flight < max_mean
 
     def _fleet_admits(self, request: HeldRequest) -> bool:
         """Acquire capacity for the call from the limits of the fleet; return False if there is none."""
--- a/myrtlespar/policy/memory_account.py
+++ b/myrtlespar/policy/memory_account.py
@@ -12,7 +12,7 @@
     Attributes:
         used_kb: Memory of requests, runs and keys together.
         queued_kb: Memory of requests that have not started; included in `used_kb`.
-        max_used_kb: Limit of `used_kb`.
+        max_used_kb: Limit of `used_kb`; lower while another process of this server has a part of the memory.
         max_queued_kb: Limit of `queued_kb`.
     """
 
@@ -21,6 +21,11 @@
         self.queued_kb = 0.0
         self.max_used_kb = memory_kb * MAX_USED_FRACTION
         self.max_queued_kb = memory_kb * MAX_QUEUED_FRACTION
+        self._memory_kb = memory_kb
+
+    def reserve(self, memory_kb: float) -> None:
+        """Leave `memory_kb` of the memory to another process of this server, in place of what was left to it before."""
+        self.max_used_kb = self._memory_kb * MAX_USED_FRACTION - memory_kb
 
     def is_exhausted(self, additional_kb: float) -> bool:
         """Return whether `additional_kb` more would exceed the limit, or waiting requests exceed theirs."""
--- a/myrtlespar/policy/policy.py
+++ b/myrtlespar/policy/policy.py
@@ -22,6 +22,7 @@
 from myrtlespar.policy.messages import RunOutcome
 from myrtlespar.policy.scheduler import Scheduler
 from myrtlespar.policy.server_health import ServerHealth
+from myrtlespar.policy.server_share import ServerShare, ShareDemand
 from myrtlespar.policy.server_state import new_server_state
 
 HOUSEKEEPING_TOKEN = 0  # token of the periodic ticks; ticks for the fleet queue have `FLEET_CAPACITY_TOKEN`
@@ -44,6 +45,8 @@
         self._last_tick = -1.0
         state = new_server_state(settings)
         self._gauges = settings.gauges
+        self._memory_kb = settings.memory_kb
+        self._run_memory_factor = settings.run_memory_factor
         self._clock = state.clock
         self._actions = state.actions
         self.memory = state.memory
@@ -117,6 +120,29 @@
             self.fleet_queue.wake_when_ready(self._fleet, self.next_wake)
         return self._actions.take()
 
+    def whole_share(self) -> ServerShare:
+        """Return the capacity of the server, which all of its processes share."""
+        return ServerShare(self._memory_kb, 1.0, self.dependency.server_share)
+
+    def share_demand(self) -> ShareDemand:
+        """Return what this process needs of the capacity of the server."""
+        max_started = self.concurrency.max_started_on_server()
+        started = self.concurrency.on_cores + self.concurrency.at_calls
+        calls = self.dependency.unfinished_calls
+        mean_calls = self.dependency.mean_in_flight
+        added_kb = self.memory.queued_kb * (self._run_memory_factor - 1)
+        request_count = len(self.table.requests)
+        return ShareDemand(
+            ServerShare(self.memory.used_kb, started / max_started, calls, mean_calls),
+            ServerShare(self.memory.used_kb + added_kb, request_count / max_started, calls + request_count, mean_calls),
+        )
+
+    def leave_to_other_process(self, share: ServerShare) -> None:
+        """Leave a part of the capacity to another process of this server, in place of what was left to it before."""
+        self.memory.reserve(share.memory_kb)
+        self.concurrency.reserved_fraction = share.run_fraction
+        self.dependency.reserved = share
+
     def _handlers_by_event(self) -> dict[type[api.Event], Callable[[Any], None]]:
         return {
             api.Arrival: self.admission.arrive,
--- a/myrtlespar/policy/scheduler.py
+++ b/myrtlespar/policy/scheduler.py
@@ -4,7 +4,6 @@
 
 import math
 
-from myrtlespar.policy.concurrency_limit import MAX_SURVIVABLE_FRACTION
 from myrtlespar.policy.deadline_queue import DeadlineQueue
 from myrtlespar.policy.final_answers import FinalAnswers
 from myrtlespar.policy.fleet_port import FleetLimitsPort
@@ -55,7 +54,7 @@
         """
         self._expire()
         concurrency = self._concurrency
-        max_started = concurrency.survivable_concurrency() * MAX_SURVIVABLE_FRACTION
+        max_started = concurrency.max_started()
         limit = concurrency.running_limit(self._overload.is_reading_late())
         while concurrency.on_cores < limit and concurrency.on_cores + concurrency.at_calls + 1 <= max_started:
             request = self._queues.next_request(self._overload.is_overloaded)
--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -12,6 +12,7 @@
 
 from myrtlespar.admin.metrics import MetricsSnapshot
 from myrtlespar.config import Config
+from myrtlespar.handover.capacity_sharing import CapacitySharing
 from myrtlespar.handover.driver import KeyHandover
 from myrtlespar.handover.folder import DEFAULT_MAX_KEYS_BYTES, HandoverFolder, ReplacementStatus
 from myrtlespar.handover.keys_file import max_file_bytes
@@ -62,6 +63,9 @@
         self._attach_clients()
         self.fronts = self._create_fronts(shutdown_requested)
         self.fleet = _open_fleet(config, self.coordinator, self.counters) if config.fleet else None
+        self._handover_folder = self._open_handover_folder()
+        if self._handover_folder is not None:  # before the admin server, which tells that this process is ready
+            CapacitySharing(self.coordinator, self._handover_folder).start()
         self.admin_server = self._start_admin_server(shutdown_requested)
         # After everything else that can fail: reading the keys removes their file, so a later failure would lose them.
         self.key_handover = self._start_key_handover()
@@ -137,16 +141,21 @@
 
     def _start_key_handover(self) -> KeyHandover | None:
         """Begin to receive the idempotency keys of the previous process, if a folder for them is configured."""
+        if self._handover_folder is None:
+            return None
+        key_handover = KeyHandover(self.coordinator, self._handover_folder)
+        key_handover.start()
+        return key_handover
+
+    def _open_handover_folder(self) -> HandoverFolder | None:
+        """Return the folder that is shared with the previous process and with a replacement, if one is configured."""
         if not self.config.tmpdir:
             return None
         max_keys_bytes = max(
             DEFAULT_MAX_KEYS_BYTES,
             max_file_bytes(self.config.limits.max_idempotency_keys, self.config.limits.max_result_bytes),
         )
-        folder = HandoverFolder(self.config.tmpdir, self.config.name, max_keys_bytes)
-        key_handover = KeyHandover(self.coordinator, folder)
-        key_handover.start()
-        return key_handover
+        return HandoverFolder(self.config.tmpdir, self.config.name, max_keys_bytes)
 
     def _start_admin_server(self, shutdown_requested: Callable[[], bool]) -> AdminServer | None:
         """Listen on the operators' address, if one is configured."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -33,7 +33,7 @@
         "runtime",
         "state_machines",
     },
-    "handover": {"errors", "exchange", "request_coordinator", "runtime"},
+    "handover": {"errors", "exchange", "policy", "request_coordinator", "runtime"},
     "net.codec": {"errors", "membership", "policy", "quota"},
     "net": {
         "admin",
