A repeat during a replacement waits for the old process's keys and is not rejected

Cause: the key table rejected every new key while the keys of the old process were awaited, though such a key may be among them. Change: an attempt that may have run follows a key in the new state AWAITED, and gets the outcome, is admitted, or fails if the keys are lost. Keys don't expire in the old process while a replacement waits for them. The front's own rejection of a request beyond 32 open ones fails a repeat. Why it works: a rejection is now given only to what has certainly not run. The existing test of a killed process's replacement expects failed in place of refused for a repeat: a refusal was the fault.

--- a/myrtlespar/exchange.py
+++ b/myrtlespar/exchange.py
@@ -57,6 +57,7 @@
         "id",
         "is_retry",
         "key",
+        "may_have_run",
         "memory_kb",
         "method",
         "query",
@@ -89,6 +90,7 @@
         self.is_retry = False  # whether the client marked it as a retry
         self.due_at = 0.0  # when the client stops waiting; set by the request tracker
         self.key = ""  # the idempotency key; empty if the client sent none
+        self.may_have_run = False  # whether an earlier attempt with the same key may have run, even in another process
         self.target = ""  # name of the back end that runs it; empty for the execution engine
         self.method = "POST"
         self.uri = ""
--- a/myrtlespar/handover/capacity_sharing.py
+++ b/myrtlespar/handover/capacity_sharing.py
@@ -103,6 +103,7 @@
         capacity = self._policy.whole_share()
         demand = self._policy.share_demand()
         is_shared = self._file.is_sharing_requested()
+        self._coordinator.tracker.keys.keeps_expired = is_shared
         self._share = shrink_share(self._share, capacity, demand, self._coordinator.draining) if is_shared else capacity
         # The policy gives up its part before the replacement hears of it.
         self._policy.leave_to_other_process(_sum(rest_of(capacity, self._share), self._held_by_old))
--- a/myrtlespar/handover/driver.py
+++ b/myrtlespar/handover/driver.py
@@ -38,8 +38,8 @@
     """Receives the keys that the previous process published, and publishes those of this process at its end.
 
     While the folder can't be used, an old process may run undetected; and one that was killed has not handed over its
-    keys. Requests with a key are then rejected for as long as an outcome is cached (`limits.idempotency_key_ms`),
-    because they could run a second time.
+    keys. Requests with a key then don't run for as long as an outcome is cached (`limits.idempotency_key_ms`), because
+    they could run a second time.
     """
 
     def __init__(self, coordinator: RequestCoordinator, folder: HandoverFolder) -> None:
@@ -123,15 +123,17 @@
         self._receive(content)
         if self._receiver.state is HandoverState.WAITING:
             return False
-        self._coordinator.tracker.keys.awaiting_handover = False
-        if content.keys_data is not None and not self._receiver.rejection:
+        keys_arrived = content.keys_data is not None and not self._receiver.rejection
+        self._coordinator.end_wait_for_handover(keys_arrived)
+        if keys_arrived:
             self._folder.remove_keys()
         return True
 
     def _receive(self, content: FolderContent) -> None:
         """Pass the content of the folder to the receiver and import the outcomes that it accepts."""
         rejection_before = self._receiver.rejection
-        now = wall_ms()
+        # A key may have expired since the arrival of an attempt that waits for it.
+        now = wall_ms() - self._coordinator.settings.longest_client_timeout_ms
         class_count = len(self._coordinator.settings.classes)
         received = self._receiver.poll(content.old_keys_valid, content.keys_data, now, class_count)
         if received.log_message:
@@ -141,7 +143,7 @@
             # Without a usable file, requests with a key may run once the keys of the old process have expired.
             self._receiver.poll(content.old_keys_valid, None, now, class_count)
         for outcome in received.outcomes:
-            self._coordinator.tracker.keys.import_outcome(
+            self._coordinator.import_key_outcome(
                 (outcome.class_index, outcome.key), answer_of(outcome), from_wall(outcome.expires_at)
             )
 
--- a/myrtlespar/model_checker/mutants/request_mutations.py
+++ b/myrtlespar/model_checker/mutants/request_mutations.py
@@ -92,8 +92,15 @@
     mutation(
         "keys open beside an old process",
         "idempotency_keys",
-        "KeyEvent.FULL_TRY if self.awaiting_handover or len(",
-        "KeyEvent.FULL_TRY if len(",
+        "if not self.awaiting_handover:",
+        "if True:",
+        "twins",
+    ),
+    mutation(
+        "repeats of a run rejected beside an old process",
+        "idempotency_keys",
+        "if not exchange.may_have_run:",
+        "if True:",
         "twins",
     ),
     mutation(
--- a/myrtlespar/model_checker/process_pair.py
+++ b/myrtlespar/model_checker/process_pair.py
@@ -32,6 +32,7 @@
     "one start a key": "An order with an idempotency key never runs twice, not even across a hand-over.",
     "all read are answered": "A process answers every request that it has read before it exits.",
     "keys open": "The new process accepts idempotency keys once the old one has exited.",
+    "no refusal after a start": "Once an order has run, the new process rejects no attempt of it.",
     "known stays known": "Once keys are accepted, a retry of a served order gets its answer and is not rejected.",
 }
 
@@ -147,6 +148,7 @@
         self.sent += 1
         exchange = Exchange(f"t{self.sent}", "thrift", 0, b"", self.now, discard_answer)
         exchange.key = "k"
+        exchange.may_have_run = self.sent > 1
         self._apply_effects(side, side.tracker.submit(exchange) or [])
 
     def _effects_of(self, kind: str, tracker: RequestTracker, id: str) -> list[RequestEffect]:
@@ -195,8 +197,12 @@
         received = self.receiver.poll(not self.old.gone, self.file, self.now, 1)
         for outcome in received.outcomes:
             slot = (outcome.class_index, outcome.key)
-            self.new.tracker.keys.import_outcome(slot, answer_of(outcome), outcome.expires_at)
-        self.new.tracker.keys.awaiting_handover = self.receiver.state is HandoverState.WAITING
+            effects = self.new.tracker.import_outcome(slot, answer_of(outcome), outcome.expires_at, self.now)
+            self._apply_effects(self.new, effects)
+        if self.receiver.state is HandoverState.OPEN:
+            keys_arrived = self.file is not None and not self.receiver.rejection
+            effects = self.new.tracker.end_wait_for_handover(keys_arrived, self.now)
+            self._apply_effects(self.new, effects)
         if self.old.gone and self.new.tracker.keys.awaiting_handover and not (self.torn and self.file):
             self.violations.append("keys open")
 
@@ -210,6 +216,9 @@
                 open_keys = side is self.new and self.receiver.state is HandoverState.OPEN
                 if self.served and effect.answer.kind is AnswerKind.REFUSED and open_keys and not self.torn:
                     self.violations.append("known stays known")
+                refused_by_new = side is self.new and effect.answer.kind is AnswerKind.REFUSED
+                if self.runs and refused_by_new and not self.torn:
+                    self.violations.append("no refusal after a start")
                 self.served = self.served or effect.answer.kind is AnswerKind.SERVED
 
 
--- a/myrtlespar/net/ajp_requests.py
+++ b/myrtlespar/net/ajp_requests.py
@@ -46,6 +46,7 @@
     exchange.route = session_route(request)
     if key_header:
         exchange.key = request.header(key_header)[:MAX_KEY_CHARS]
+    exchange.may_have_run = True  # gateways mark no retries
     return exchange
 
 
--- a/myrtlespar/net/thrift_front.py
+++ b/myrtlespar/net/thrift_front.py
@@ -177,8 +177,7 @@
         if len(self._open_requests) >= self.front.limits.max_open_requests:
             self.coordinator.counters.add("in.too_many.thrift")
             self.consecutive_rejected += 1
-            fields = self._answer_fields({"backoff": str(TOO_MANY_REQUESTS_BACKOFF_MS)})
-            self._send_result(sequence_number, idl.Front.invoke_result(refused=idl.Backoff(fields=fields)))
+            self._send_result(sequence_number, self._too_many_requests(exchange))
             return
         self._open_requests[sequence_number] = exchange
         self._handle_event(REQUEST)
@@ -187,6 +186,16 @@
             self._send_exception("invoke", sequence_number, codec.PROTOCOL_ERROR, "rid is in use")
             self._request_answered()
 
+    def _too_many_requests(self, exchange: Exchange) -> Any:
+        """Return the answer to a request beyond the limit: a rejection, or a failure if it is a repeat.
+
+        The repeat of a request that has run must not be rejected, as the client would run it on another server.
+        """
+        if exchange.key and exchange.may_have_run:
+            return idl.Front.invoke_result(failed=idl.Lost(fields=self._answer_fields()))
+        fields = self._answer_fields({"backoff": str(TOO_MANY_REQUESTS_BACKOFF_MS)})
+        return idl.Front.invoke_result(refused=idl.Backoff(fields=fields))
+
     def _abandon_requests(self) -> None:
         for exchange in list(self._open_requests.values()):
             self.coordinator.caller_gone(exchange)
--- a/myrtlespar/net/thrift_requests.py
+++ b/myrtlespar/net/thrift_requests.py
@@ -30,6 +30,8 @@
         self._classes = config.settings.classes
         self._class_indexes = {name: index for index, name in enumerate(config.class_names)}
         self._key_field = config.thrift_key
+        # Clients of another front, which share the operator's keys, mark no retries.
+        self._marks_first_attempts = config.settings.marks_retries and not config.thrift_key
         self._max_body_bytes = config.limits.max_body_bytes
         self._counters = counters
 
@@ -63,6 +65,7 @@
         exchange.sender = int(_number(fields, "peer", 0, 0, MAX_SENDER))
         exchange.is_retry = _text(fields, "again") == "1"
         exchange.key = self._idempotency_key(fields, class_index, exchange)
+        exchange.may_have_run = exchange.is_retry or not self._marks_first_attempts
         return exchange
 
     def _idempotency_key(self, fields: dict[bytes, Any], class_index: int, exchange: Exchange) -> str:
--- a/myrtlespar/request_coordinator.py
+++ b/myrtlespar/request_coordinator.py
@@ -29,7 +29,7 @@
 from myrtlespar.state_machines import TABLES
 from myrtlespar.state_machines.attempts import AWAITING_ANSWER, AttemptAction, AttemptState
 from myrtlespar.state_machines.command_log import confirm_every_start
-from myrtlespar.state_machines.idempotency_keys import IdempotencyKeyTable
+from myrtlespar.state_machines.idempotency_keys import IdempotencyKeyTable, KeyId
 from myrtlespar.state_machines.process import ProcessAction, ProcessLifecycle
 from myrtlespar.state_machines.request_effects import RequestTrackerSettings
 from myrtlespar.state_machines.request_tracker import RequestTracker
@@ -152,6 +152,14 @@
         self.counters.add(f"store.{outcome.value.replace(' ', '_')}")
         self._execute(self.tracker.call_ended(request_id, outcome, elapsed_ms, reply))
 
+    def import_key_outcome(self, key_id: KeyId, outcome: Answer, expires_at: float) -> None:
+        """Handle a key that an earlier process has handed over."""
+        self._execute(self.tracker.import_outcome(key_id, outcome, expires_at, unix_ms()))
+
+    def end_wait_for_handover(self, keys_arrived: bool) -> None:
+        """Handle the end of the wait for the keys of an earlier process, which have arrived or are lost."""
+        self._execute(self.tracker.end_wait_for_handover(keys_arrived, unix_ms()))
+
     def drain(self, kill_in_ms: float = float("inf")) -> bool:
         """Begin a graceful shutdown; the process is killed `stop_ms` or `kill_in_ms` from now, whichever is earlier.
 
@@ -306,5 +314,6 @@
         limits.idempotency_key_ms,
         limits.max_waiting_repeats,
         limits.max_result_bytes,
+        limits.max_awaited_keys,
     )
     return RequestTracker(tracker_settings, keys, process)
--- a/myrtlespar/resource_limits.py
+++ b/myrtlespar/resource_limits.py
@@ -54,6 +54,7 @@
     max_idempotency_keys: int = 4096
     idempotency_key_ms: float = 60000.0  # how long a key is remembered after the end of its run
     max_waiting_repeats: int = 8  # repeats that wait for the result of one run
+    max_awaited_keys: int = 256  # keys with attempts that wait until an earlier process hands its keys over
 
     # Connections to all upstreams.
     connect_timeout_ms: float = 1000.0
--- a/myrtlespar/state_machines/idempotency_keys.py
+++ b/myrtlespar/state_machines/idempotency_keys.py
@@ -21,6 +21,7 @@
     FREE = 0
     OWNED = auto()  # owned by an attempt that may run; further attempts follow it
     KNOWN = auto()  # the outcome of a run is cached
+    AWAITED = auto()  # an earlier process may have run the request; attempts follow until its keys have arrived
 
 
 class KeyEvent(IntEnum):
@@ -28,19 +29,23 @@
 
     TRY = 0  # an attempt arrives
     FULL_TRY = auto()  # an attempt arrives with a new key that the table does not accept; see `register`
-    CROWDED_TRY = auto()  # an attempt arrives, and the key has the maximum number of followers
+    CROWDED_TRY = auto()  # an attempt arrives, and the key has the maximum number of followers; see `register`
     OUTCOME = auto()  # the owner ran
     NEVER_RAN = auto()  # the owner ended and certainly did not run
     OWNER_LEFT = auto()  # the owner left before it ran, and followers wait
     LAST_LEFT = auto()  # the owner left before it ran, and no follower waits
     EXPIRE = auto()  # the outcome has been cached for `key_ms`
+    UNSURE_TRY = auto()  # an attempt arrives with a new key that may be among the keys of an earlier process
+    IMPORT = auto()  # the keys of the earlier process have arrived, with the outcome of this one
+    NOT_IMPORTED = auto()  # the keys of the earlier process have arrived without this one
+    HANDOVER_LOST = auto()  # the earlier process has ended without its keys, and they have expired
 
 
 class KeyAction(IntEnum):
     """The effects of a transition."""
 
     OWN = 0  # the attempt becomes the owner
-    FOLLOW = auto()  # the attempt follows the owner
+    FOLLOW = auto()  # the attempt follows the owner, or waits for the keys of an earlier process
     ANSWER = auto()  # answer the attempt with the cached outcome
     TURN_AWAY = auto()  # reject the attempt with Retry-After, as the table has no capacity
     FAIL = auto()  # fail the attempt, as its outcome can't be known
@@ -62,6 +67,14 @@
         (KeyState.OWNED, KeyEvent.NEVER_RAN): Transition(KeyState.FREE, (KeyAction.SHARE, KeyAction.DROP)),
         (KeyState.OWNED, KeyEvent.OWNER_LEFT): Transition(KeyState.OWNED, (KeyAction.PROMOTE,)),
         (KeyState.OWNED, KeyEvent.LAST_LEFT): Transition(KeyState.FREE, (KeyAction.DROP,)),
+        (KeyState.FREE, KeyEvent.UNSURE_TRY): Transition(KeyState.AWAITED, (KeyAction.FOLLOW,)),
+        (KeyState.FREE, KeyEvent.CROWDED_TRY): Transition(KeyState.FREE, (KeyAction.FAIL,)),
+        (KeyState.AWAITED, KeyEvent.TRY): Transition(KeyState.AWAITED, (KeyAction.FOLLOW,)),
+        (KeyState.AWAITED, KeyEvent.CROWDED_TRY): Transition(KeyState.AWAITED, (KeyAction.FAIL,)),
+        (KeyState.AWAITED, KeyEvent.IMPORT): Transition(KeyState.KNOWN, (KeyAction.SHARE,)),
+        (KeyState.AWAITED, KeyEvent.NOT_IMPORTED): Transition(KeyState.OWNED, (KeyAction.PROMOTE,)),
+        (KeyState.AWAITED, KeyEvent.HANDOVER_LOST): Transition(KeyState.FREE, (KeyAction.SHARE, KeyAction.DROP)),
+        (KeyState.AWAITED, KeyEvent.LAST_LEFT): Transition(KeyState.FREE, (KeyAction.DROP,)),
         (KeyState.KNOWN, KeyEvent.TRY): Transition(KeyState.KNOWN, (KeyAction.ANSWER,)),
         (KeyState.KNOWN, KeyEvent.EXPIRE): Transition(KeyState.FREE, (KeyAction.DROP,)),
     },
@@ -89,18 +102,26 @@
         key_ms: How long an outcome is cached, in milliseconds.
         max_followers: The maximum number of retries that wait for one run.
         max_result_bytes: Longer answers are not cached.
+        max_awaited: The maximum number of keys with attempts that wait for the keys of an earlier process.
     """
 
-    def __init__(self, capacity: int, key_ms: float, max_followers: int, max_result_bytes: int) -> None:
+    def __init__(
+        self, capacity: int, key_ms: float, max_followers: int, max_result_bytes: int, max_awaited: int = 256
+    ) -> None:
         self.capacity = capacity
         self.key_ms = key_ms
         self.max_followers = max_followers
         self.max_result_bytes = max_result_bytes
+        self.max_awaited = max_awaited
         self.entries: dict[KeyId, KeyEntry] = {}
         self.expiry: deque[tuple[float, KeyId]] = deque()  # times in Unix milliseconds, earliest first
         self.expired_count = 0  # outcomes removed from `expiry`
-        # Whether the keys of an earlier process are awaited. While they are, no new key is accepted.
+        # Whether the keys of an earlier process are awaited. While they are, no attempt with a new key may run.
         self.awaiting_handover = False
+        self._awaited_count = 0  # keys in the state AWAITED
+        # Whether outcomes stay in the table when they expire. That is so while a replacement waits for the keys, as it
+        # may hold an attempt that arrived before the key expired.
+        self.keeps_expired = False
 
     def register(self, exchange: Exchange) -> tuple[KeyAction, Answer | None]:
         """Register a new attempt.
@@ -111,19 +132,32 @@
         key_id = (exchange.class_index, exchange.key)
         entry = self.entries.get(key_id)
         if entry is None:
-            # A full table rejects new keys, so that a flood of them makes no key expire early. While the keys of an
-            # earlier process are still to come, a new key might be among them, and its request would run a second time.
-            event = KeyEvent.FULL_TRY if self.awaiting_handover or len(self.entries) >= self.capacity else KeyEvent.TRY
-            transition = KEY_TABLE.step(KeyState.FREE, event, exchange.key)
+            transition = KEY_TABLE.step(KeyState.FREE, self._event_of_new_key(exchange), exchange.key)
             if transition.next_state == KeyState.OWNED:
                 self.entries[key_id] = KeyEntry(KeyState.OWNED, exchange)
+            elif transition.next_state == KeyState.AWAITED:
+                self.entries[key_id] = KeyEntry(KeyState.AWAITED, None, [exchange])
+                self._awaited_count += 1
             return transition.effects[0], None
-        crowded = entry.state == KeyState.OWNED and len(entry.followers) >= self.max_followers
+        crowded = entry.state != KeyState.KNOWN and len(entry.followers) >= self.max_followers
         transition = KEY_TABLE.step(entry.state, KeyEvent.CROWDED_TRY if crowded else KeyEvent.TRY, exchange.key)
         if transition.effects[0] == KeyAction.FOLLOW:
             entry.followers.append(exchange)
         return transition.effects[0], entry.outcome
 
+    def _event_of_new_key(self, exchange: Exchange) -> KeyEvent:
+        """Return the event for an attempt whose key is not in the table.
+
+        While the keys of an earlier process are still to come, the key might be among them: the request would run a
+        second time, and must not be rejected if it may have run. A full table rejects new keys, so that a flood of
+        them makes no key expire early.
+        """
+        if not self.awaiting_handover:
+            return KeyEvent.FULL_TRY if len(self.entries) >= self.capacity else KeyEvent.TRY
+        if not exchange.may_have_run:
+            return KeyEvent.FULL_TRY
+        return KeyEvent.CROWDED_TRY if self._awaited_count >= self.max_awaited else KeyEvent.UNSURE_TRY
+
     def record_outcome(self, exchange: Exchange, answer: Answer, ran: bool, now: float) -> list[Exchange]:
         """Record the end of a key's owner, and return the followers that share its answer.
 
@@ -157,6 +191,10 @@
             return None
         if entry.owner is not exchange:
             entry.followers = [follower for follower in entry.followers if follower is not exchange]
+            if entry.state == KeyState.AWAITED and not entry.followers:
+                KEY_TABLE.step(entry.state, KeyEvent.LAST_LEFT, exchange.key)
+                del self.entries[key_id]
+                self._awaited_count -= 1
             return None
         event = KeyEvent.OWNER_LEFT if entry.followers else KeyEvent.LAST_LEFT
         transition = KEY_TABLE.step(entry.state, event, exchange.key)
@@ -164,8 +202,7 @@
         if transition.next_state == KeyState.FREE:
             del self.entries[key_id]
             return None
-        entry.owner = entry.followers.pop(0)
-        return entry.owner
+        return _promote_first_follower(entry)
 
     def owns(self, exchange: Exchange) -> bool:
         """Return whether this attempt owns its key."""
@@ -198,19 +235,73 @@
         ]
         return outcomes, first + len(expiry)
 
-    def import_outcome(self, key_id: KeyId, outcome: Answer, expires_at: float) -> None:
+    def import_outcome(self, key_id: KeyId, outcome: Answer, expires_at: float) -> list[Exchange]:
         """Import a key from an earlier process. Call in order of expiry, before any new key is registered.
 
         A key that is known here, or for which the table has no capacity, is left out.
+
+        Returns:
+            The attempts that waited for this outcome.
         """
-        if key_id not in self.entries and len(self.entries) < self.capacity:
+        entry = self.entries.get(key_id)
+        followers: list[Exchange] = []
+        if entry is None:
+            if len(self.entries) - self._awaited_count >= self.capacity:
+                return []
             self.entries[key_id] = KeyEntry(KeyState.KNOWN, None, [], outcome)
-            self.expiry.append((expires_at, key_id))
+        elif entry.state == KeyState.AWAITED:
+            entry.state = KEY_TABLE.step(entry.state, KeyEvent.IMPORT, key_id[1]).next_state
+            entry.outcome = outcome
+            followers, entry.followers = entry.followers, followers
+            self._awaited_count -= 1
+        else:
+            return []
+        self.expiry.append((expires_at, key_id))
+        return followers
+
+    def admit_awaited(self) -> list[Exchange]:
+        """Accept new keys, as all those of the earlier process have been imported.
+
+        Returns:
+            The attempts that now own a key for which they waited.
+        """
+        owners = []
+        for key_id, entry in self._end_wait():
+            entry.state = KEY_TABLE.step(entry.state, KeyEvent.NOT_IMPORTED, key_id[1]).next_state
+            owners.append(_promote_first_follower(entry))
+        return owners
+
+    def drop_awaited(self) -> list[Exchange]:
+        """Accept new keys, as those of the earlier process are lost and have expired.
+
+        Returns:
+            The attempts that waited for them, which may have run and have to fail.
+        """
+        attempts = []
+        for key_id, entry in self._end_wait():
+            KEY_TABLE.step(entry.state, KeyEvent.HANDOVER_LOST, key_id[1])
+            attempts += entry.followers
+            del self.entries[key_id]
+        return attempts
+
+    def _end_wait(self) -> list[tuple[KeyId, KeyEntry]]:
+        """Accept new keys from now on, and return the keys for which attempts have waited until now."""
+        self.awaiting_handover = False
+        self._awaited_count = 0
+        return [(key_id, entry) for key_id, entry in self.entries.items() if entry.state == KeyState.AWAITED]
 
     def expire(self, now: float) -> None:
         """Remove the outcomes that have been cached for `key_ms`."""
+        if self.keeps_expired:
+            return
         while self.expiry and self.expiry[0][0] <= now:
             key_id = self.expiry.popleft()[1]
             self.expired_count += 1
             if KEY_TABLE.step(self.entries[key_id].state, KeyEvent.EXPIRE, key_id[1]).next_state == KeyState.FREE:
                 del self.entries[key_id]
+
+
+def _promote_first_follower(entry: KeyEntry) -> Exchange:
+    """Make the first follower of a key its owner, and return it."""
+    entry.owner = entry.followers.pop(0)
+    return entry.owner
--- a/myrtlespar/state_machines/request_tracker.py
+++ b/myrtlespar/state_machines/request_tracker.py
@@ -16,7 +16,7 @@
     AttemptEvent,
     AttemptState,
 )
-from myrtlespar.state_machines.idempotency_keys import IdempotencyKeyTable, KeyAction, KnownOutcome
+from myrtlespar.state_machines.idempotency_keys import IdempotencyKeyTable, KeyAction, KeyId, KnownOutcome
 from myrtlespar.state_machines.process import ProcessLifecycle
 from myrtlespar.state_machines.request_effects import (
     FAILED,
@@ -198,6 +198,29 @@
         ]
         return self.keys.known_outcomes(position) + running
 
+    # The keys of an earlier process.
+
+    def import_outcome(self, key_id: KeyId, outcome: Answer, expires_at: float, now: float) -> list[RequestEffect]:
+        """Import a key of an earlier process, and answer the attempts that waited for its outcome."""
+        effects: list[RequestEffect] = []
+        for follower in self.keys.import_outcome(key_id, outcome, expires_at):
+            effects += self._step(follower, EVENT_SHARE, EventDetails(outcome), now)
+        return effects
+
+    def end_wait_for_handover(self, keys_arrived: bool, now: float) -> list[RequestEffect]:
+        """Accept new keys, and decide on the attempts that waited for the keys of an earlier process in vain.
+
+        If the keys have arrived, these attempts never ran and are admitted; otherwise they fail.
+        """
+        effects: list[RequestEffect] = []
+        if keys_arrived:
+            for owner in self.keys.admit_awaited():
+                effects += self._step(owner, EVENT_PROMOTE)
+        else:
+            for attempt in self.keys.drop_awaited():
+                effects += self._step(attempt, EVENT_SHARE, EventDetails(FAILED), now)
+        return effects
+
     # Decisions of the policy.
 
     def start(self, request_id: str, now: float) -> list[RequestEffect]:
--- a/tests/request_classes.py
+++ b/tests/request_classes.py
@@ -25,4 +25,6 @@
 
 
 KEYED_SETTINGS = {"settings": class_settings(("tide", "free", 4000.0), ("booking", "guarded", 4000.0))}
+# The same, and clients mark their repeats.
+MARKED_SETTINGS = {"settings": {**KEYED_SETTINGS["settings"], "clients": {"marks_retry": True}}}
 KEYS_ENABLED = '[idempotency]\nthrift_field = "key"\n'  # an operators' file
