A guarded order is linked over both fronts by the operator's key, beside its token

Cause: over Thrift a guarded class went by the platform's token alone and ignored the field of the operator's file; AJP has only the header. Change: a Thrift request may have both keys; the key table knows a request under each, whichever attempt brings the link, and hands both over. One function reads the operator's key for both fronts: they decoded and cut it differently, so that a key with other characters than ASCII ran once for each front, and two long keys could share one run. Why it works: no attempt starts while any of its keys belongs to a request that is held, runs or has run. The fake gateway counted the characters of a string in place of its bytes, which is mended with it.

--- a/myrtlespar/exchange.py
+++ b/myrtlespar/exchange.py
@@ -60,6 +60,7 @@
         "may_have_run",
         "memory_kb",
         "method",
+        "other_key",
         "query",
         "rank",
         "route",
@@ -90,6 +91,7 @@
         self.is_retry = False  # whether the client marked it as a retry
         self.due_at = 0.0  # when the client stops waiting; set by the request tracker
         self.key = ""  # the idempotency key; empty if the client sent none
+        self.other_key = ""  # a further key of the same request, which links it to attempts that have only this one
         self.may_have_run = False  # whether an earlier attempt with the same key may have run, even in another process
         self.target = ""  # name of the back end that runs it; empty for the execution engine
         self.method = "POST"
--- a/myrtlespar/fakes/ajp_peers.py
+++ b/myrtlespar/fakes/ajp_peers.py
@@ -21,7 +21,8 @@
 
 def encode_string(value: str) -> bytes:
     """Encode a string as in AJP13: length, bytes, NUL."""
-    return struct.pack(">H", len(value)) + value.encode() + b"\0"
+    data = value.encode()
+    return struct.pack(">H", len(data)) + data + b"\0"
 
 
 class FakeGateway:
--- a/myrtlespar/net/ajp_requests.py
+++ b/myrtlespar/net/ajp_requests.py
@@ -9,11 +9,11 @@
 from myrtlespar.config import PathRule
 from myrtlespar.exchange import Answer, Exchange
 from myrtlespar.net.codec.ajp import ForwardRequest
+from myrtlespar.net.operator_keys import operator_key
 from myrtlespar.runtime.clock import unix_ms
 
 SESSION_ROUTE = re.compile(r"jsessionid=[^;,\s]*?\.([A-Za-z0-9_-]+)(?:$|[;,\s?/])", re.I)
 HOP_BY_HOP_HEADERS = ("connection", "transfer-encoding", "content-length", "keep-alive")
-MAX_KEY_CHARS = 200
 
 
 def create_exchange(
@@ -45,7 +45,7 @@
     exchange.headers = tuple(row for row in request.headers if row[0] not in HOP_BY_HOP_HEADERS)
     exchange.route = session_route(request)
     if key_header:
-        exchange.key = request.header(key_header)[:MAX_KEY_CHARS]
+        exchange.key = operator_key(request.header(key_header).encode("latin-1"))
     exchange.may_have_run = True  # gateways mark no retries
     return exchange
 
--- a/myrtlespar/net/thrift_requests.py
+++ b/myrtlespar/net/thrift_requests.py
@@ -9,12 +9,13 @@
 from myrtlespar.config import Config
 from myrtlespar.exchange import Answer, Exchange
 from myrtlespar.net.codec.thrift import MalformedMessageError
+from myrtlespar.net.operator_keys import operator_key
 from myrtlespar.policy.messages import Effect
 from myrtlespar.runtime.clock import unix_ms, wall_ms
 from myrtlespar.runtime.counters import Counters
 
 TOKEN_FIELD = "token"  # the same in all attempts of a request; for classes whose effect is `keyed`
-MAX_KEY_CHARS = 200
+MAX_TOKEN_CHARS = 200
 MAX_REQUEST_ID_CHARS = 64
 MAX_CLOCK_DIFFERENCE_MS = 3.6e6  # between the client's time stamp and our clock
 MAX_MEMORY_KB = 2000.0
@@ -64,19 +65,33 @@
         exchange.rank = _number(fields, "prio", 0.0, 0.0, 1.0)
         exchange.sender = int(_number(fields, "peer", 0, 0, MAX_SENDER))
         exchange.is_retry = _text(fields, "again") == "1"
-        exchange.key = self._idempotency_key(fields, class_index, exchange)
+        self._set_keys(exchange, fields)
         exchange.may_have_run = exchange.is_retry or not self._marks_first_attempts
         return exchange
 
-    def _idempotency_key(self, fields: dict[bytes, Any], class_index: int, exchange: Exchange) -> str:
-        """Return the idempotency key, from the platform's token or the operator's field; empty if there is none."""
-        if self._classes[class_index].effect is not Effect.KEYED:
-            return _text(fields, self._key_field)[:MAX_KEY_CHARS] if self._key_field else ""
+    def _set_keys(self, exchange: Exchange, fields: dict[bytes, Any]) -> None:
+        """Set the idempotency keys: the operator's field, which links the fronts, and the platform's token."""
+        key = self._operator_key(fields)
+        token_key = self._token_key(exchange, fields, bool(key))
+        exchange.key = key or token_key
+        exchange.other_key = token_key if key else ""
+
+    def _operator_key(self, fields: dict[bytes, Any]) -> str:
+        """Return the key in the operator's field; empty if there is none."""
+        value = fields.get(self._key_field.encode(), b"") if self._key_field else b""
+        if not isinstance(value, bytes):
+            raise MalformedMessageError(f"field {self._key_field} is no text")
+        return operator_key(value)
+
+    def _token_key(self, exchange: Exchange, fields: dict[bytes, Any], has_other_key: bool) -> str:
+        """Return the key for the platform's token; empty if there is none, or if the class has no tokens."""
+        if self._classes[exchange.class_index].effect is not Effect.KEYED:
+            return ""
         token = _text(fields, TOKEN_FIELD)
-        if len(token) > MAX_KEY_CHARS:  # if truncated, two different tokens could become the same key
+        if len(token) > MAX_TOKEN_CHARS:  # if truncated, two different tokens could become the same key
             raise MalformedMessageError(f"field {TOKEN_FIELD} is too long")
         if not token:
-            if exchange.is_retry:  # an earlier attempt may have run here
+            if exchange.is_retry and not has_other_key:  # an earlier attempt may have run here
                 self._counters.add("in.no_token.thrift")
                 raise MalformedMessageError(f"field {TOKEN_FIELD} is missing in a further try")
             return ""
--- a/myrtlespar/state_machines/idempotency_keys.py
+++ b/myrtlespar/state_machines/idempotency_keys.py
@@ -80,18 +80,23 @@
     },
 )
 
+MAX_OTHER_IDS = 4  # further keys of one request
 KeyId = tuple[int, str]  # request class and idempotency key
 KnownOutcome = tuple[KeyId, Answer, float]  # a key, the outcome of its request, and when the key expires
 
 
 @dataclass(slots=True)
 class KeyEntry:
-    """One idempotency key in use: its owner, the followers in order of arrival, and the outcome once it is known."""
+    """One idempotency key in use: its owner, the followers in order of arrival, and the outcome once it is known.
+
+    `other_ids` are further keys of the same request.
+    """
 
     state: int
     owner: Exchange | None
     followers: list[Exchange] = field(default_factory=list)
     outcome: Answer | None = None
+    other_ids: list[KeyId] = field(default_factory=list)
 
 
 class IdempotencyKeyTable:
@@ -114,6 +119,7 @@
         self.max_result_bytes = max_result_bytes
         self.max_awaited = max_awaited
         self.entries: dict[KeyId, KeyEntry] = {}
+        self.main_ids: dict[KeyId, KeyId] = {}  # by each further key of a request, the one under which its entry is
         self.expiry: deque[tuple[float, KeyId]] = deque()  # times in Unix milliseconds, earliest first
         self.expired_count = 0  # outcomes removed from `expiry`
         # Whether the keys of an earlier process are awaited. While they are, no attempt with a new key may run.
@@ -126,9 +132,12 @@
     def register(self, exchange: Exchange) -> tuple[KeyAction, Answer | None]:
         """Register a new attempt.
 
+        The key of the attempt becomes the one under which its request is known, if that is its other key.
+
         Returns:
             OWN, FOLLOW, TURN_AWAY, FAIL or ANSWER, and for ANSWER the cached outcome.
         """
+        is_linked = self._link_keys(exchange)
         key_id = (exchange.class_index, exchange.key)
         entry = self.entries.get(key_id)
         if entry is None:
@@ -138,13 +147,50 @@
             elif transition.next_state == KeyState.AWAITED:
                 self.entries[key_id] = KeyEntry(KeyState.AWAITED, None, [exchange])
                 self._awaited_count += 1
+            if transition.next_state != KeyState.FREE and exchange.other_key:
+                self._add_other_id(key_id, (exchange.class_index, exchange.other_key))
             return transition.effects[0], None
-        crowded = entry.state != KeyState.KNOWN and len(entry.followers) >= self.max_followers
+        crowded = entry.state != KeyState.KNOWN and (not is_linked or len(entry.followers) >= self.max_followers)
         transition = KEY_TABLE.step(entry.state, KeyEvent.CROWDED_TRY if crowded else KeyEvent.TRY, exchange.key)
         if transition.effects[0] == KeyAction.FOLLOW:
             entry.followers.append(exchange)
         return transition.effects[0], entry.outcome
 
+    def _link_keys(self, exchange: Exchange) -> bool:
+        """Replace the key of an attempt by the one under which its request is known, and link its other key to it.
+
+        Returns:
+            False if its two keys belong to different requests, so that it must not run for either of them.
+        """
+        class_index = exchange.class_index
+        key_id = self.main_ids.get((class_index, exchange.key), (class_index, exchange.key))
+        if exchange.other_key:
+            other_id = self.main_ids.get((class_index, exchange.other_key), (class_index, exchange.other_key))
+            entry = self.entries.get(key_id)
+            other = self.entries.get(other_id)
+            if entry is not None and other is not None and entry is not other:
+                exchange.key = (other_id if other.state == KeyState.KNOWN else key_id)[1]
+                return False
+            if other is not None:
+                key_id, other_id = other_id, key_id
+            exchange.key = key_id[1]
+            exchange.other_key = other_id[1] if other_id != key_id else ""
+            if (entry or other) is not None and other_id != key_id:
+                self._add_other_id(key_id, other_id)
+        exchange.key = key_id[1]
+        return True
+
+    def _add_other_id(self, key_id: KeyId, other_id: KeyId) -> None:
+        """Make the entry of a key known under a further one, as long as it has few of these."""
+        other_ids = self.entries[key_id].other_ids
+        if other_id not in self.main_ids and len(other_ids) < MAX_OTHER_IDS:
+            self.main_ids[other_id] = key_id
+            other_ids.append(other_id)
+
+    def _remove_entry(self, key_id: KeyId) -> None:
+        for other_id in self.entries.pop(key_id).other_ids:
+            del self.main_ids[other_id]
+
     def _event_of_new_key(self, exchange: Exchange) -> KeyEvent:
         """Return the event for an attempt whose key is not in the table.
 
@@ -173,7 +219,7 @@
         entry.state = transition.next_state
         entry.owner = None
         if transition.next_state == KeyState.FREE:
-            del self.entries[key_id]
+            self._remove_entry(key_id)
         else:
             # Long results are not cached, to bound memory; a late retry of such a request fails.
             entry.outcome = answer if len(answer.body) <= self.max_result_bytes else Answer(AnswerKind.FAILED)
@@ -193,14 +239,14 @@
             entry.followers = [follower for follower in entry.followers if follower is not exchange]
             if entry.state == KeyState.AWAITED and not entry.followers:
                 KEY_TABLE.step(entry.state, KeyEvent.LAST_LEFT, exchange.key)
-                del self.entries[key_id]
+                self._remove_entry(key_id)
                 self._awaited_count -= 1
             return None
         event = KeyEvent.OWNER_LEFT if entry.followers else KeyEvent.LAST_LEFT
         transition = KEY_TABLE.step(entry.state, event, exchange.key)
         entry.state = transition.next_state
         if transition.next_state == KeyState.FREE:
-            del self.entries[key_id]
+            self._remove_entry(key_id)
             return None
         return _promote_first_follower(entry)
 
@@ -209,6 +255,11 @@
         entry = self.entries.get((exchange.class_index, exchange.key))
         return entry is not None and entry.owner is exchange
 
+    def ids_of(self, exchange: Exchange) -> list[KeyId]:
+        """Return all keys of the request whose key this attempt owns; none if it owns no key."""
+        key_id = (exchange.class_index, exchange.key)
+        return [key_id, *self.entries[key_id].other_ids] if self.owns(exchange) else []
+
     @property
     def outcome_count(self) -> int:
         """How many outcomes were recorded or imported so far, those that have expired included."""
@@ -229,9 +280,10 @@
         start = first - self.expired_count
         expiry = list(islice(self.expiry, start, start + max_count))
         outcomes = [
-            (key_id, entry.outcome, expires_at)
+            (id, entry.outcome, expires_at)
             for expires_at, key_id in expiry
             if (entry := self.entries.get(key_id)) is not None and entry.outcome is not None
+            for id in (key_id, *entry.other_ids)
         ]
         return outcomes, first + len(expiry)
 
@@ -243,6 +295,7 @@
         Returns:
             The attempts that waited for this outcome.
         """
+        key_id = self.main_ids.get(key_id, key_id)
         entry = self.entries.get(key_id)
         followers: list[Exchange] = []
         if entry is None:
@@ -281,7 +334,7 @@
         for key_id, entry in self._end_wait():
             KEY_TABLE.step(entry.state, KeyEvent.HANDOVER_LOST, key_id[1])
             attempts += entry.followers
-            del self.entries[key_id]
+            self._remove_entry(key_id)
         return attempts
 
     def _end_wait(self) -> list[tuple[KeyId, KeyEntry]]:
@@ -298,7 +351,7 @@
             key_id = self.expiry.popleft()[1]
             self.expired_count += 1
             if KEY_TABLE.step(self.entries[key_id].state, KeyEvent.EXPIRE, key_id[1]).next_state == KeyState.FREE:
-                del self.entries[key_id]
+                self._remove_entry(key_id)
 
 
 def _promote_first_follower(entry: KeyEntry) -> Exchange:
--- a/myrtlespar/state_machines/request_tracker.py
+++ b/myrtlespar/state_machines/request_tracker.py
@@ -192,9 +192,10 @@
         without this process. Its key gets a failure as its outcome, since the real outcome will not be known.
         """
         running = [
-            ((exchange.class_index, exchange.key), FAILED, now + self.keys.key_ms)
+            (key_id, FAILED, now + self.keys.key_ms)
             for exchange in self.requests.values()
-            if exchange.key and exchange.state in STARTED and self.keys.owns(exchange)
+            if exchange.key and exchange.state in STARTED
+            for key_id in self.keys.ids_of(exchange)
         ]
         return self.keys.known_outcomes(position) + running
 
