--- a/tests/test_connection_close.py
+++ b/tests/test_connection_close.py
@@ -90,7 +90,7 @@
             class_names=("order",),
             thrift_key="",
             limits=limits,
-            settings=SimpleNamespace(classes=request_classes),
+            settings=SimpleNamespace(classes=request_classes, marks_retries=False),
         )
         front: Any = SimpleNamespace(
             limits=limits,
