A hand-over keeps status, headers and lateness of an outcome

Cause: the keys file had kind, body and retry time of an outcome only; every status under 500 counts as served, and an answer without a status becomes 200. Change: a row has status, lateness and headers where the answer has any of them, and is unchanged otherwise, so that the golden bytes hold. Headers of an answer that is kept are bounded, and so is the length of the file. Why it works: the answer that a repeat gets from the table is the same object, field by field, before and after a hand-over.

--- a/myrtlespar/exchange.py
+++ b/myrtlespar/exchange.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+MAX_KEPT_HEADER_CHARS = 2048  # of the headers of an answer that is cached for repeats
+CHARS_PER_HEADER = 8  # beside the name and the value
+
 
 class AnswerKind(enum.Enum):
     """The three kinds of final answers. The values appear in counter names and in the hand-over file."""
@@ -37,6 +40,11 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
 
+    def may_be_kept(self, max_body_bytes: int) -> bool:
+        """Return whether the answer is short enough to be cached."""
+        header_chars = sum(len(name) + len(value) + CHARS_PER_HEADER for name, value in self.headers)
+        return len(self.body) <= max_body_bytes and header_chars <= MAX_KEPT_HEADER_CHARS
+
 
 class Exchange:
     """One attempt of a request: its content, when it arrived, and its `AttemptState`.
--- a/myrtlespar/handover/keys_file.py
+++ b/myrtlespar/handover/keys_file.py
@@ -1,8 +1,9 @@
 """The format of the hand-over file, in which a process passes its idempotency keys to its replacement.
 
 The file is a header line `myrtlespar-keys VERSION CRC32 LENGTH` and LENGTH bytes of JSON lines, each with one key and
-its outcome. A file that is truncated, corrupt or of another version is rejected as a whole. Times are milliseconds of
-the Unix clock, as two processes compare them. Pure: no I/O and no clock.
+its outcome. A row has further fields only if the answer has a status or headers, or was late; releases that don't know
+them reject such a file. A file that is truncated, corrupt or of another version is rejected as a whole. Times are
+milliseconds of the Unix clock, as two processes compare them. Pure: no I/O and no clock.
 """
 
 from __future__ import annotations
@@ -12,11 +13,11 @@
 import math
 import zlib
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from myrtlespar.errors import MyrtlesparError
-from myrtlespar.exchange import Answer, AnswerKind
+from myrtlespar.exchange import MAX_KEPT_HEADER_CHARS, Answer, AnswerKind
 
 VERSION = 1
 MAGIC = b"myrtlespar-keys"
@@ -24,7 +25,11 @@
 LENGTH_DIGITS = 12  # of the length in a header that is written before its rows are known
 ANSWER_KINDS = ("served", "refused", "failed")  # as written in the file
 MAX_HEADER_BYTES = 64
-MAX_ROW_BYTES_WITHOUT_BODY = 1536  # a key has up to 200 characters, each of which JSON may write as 6 bytes
+JSON_BYTES_PER_CHARACTER = 6  # at most
+MAX_KEY_CHARS = 200
+MAX_ROW_BYTES_WITHOUT_BODY = 512 + JSON_BYTES_PER_CHARACTER * (MAX_KEY_CHARS + MAX_KEPT_HEADER_CHARS)
+BASE_FIELDS = 6  # of a row without status, headers and late
+MAX_STATUS = 999
 MAX_SHOWN_CHARS = 60  # how much of a rejected entry an error text quotes
 
 
@@ -46,6 +51,9 @@
         body: The body of the answer.
         retry_after_ms: The Retry-After of the answer; 0 for none.
         expires_at: When the key may be forgotten, in Unix milliseconds.
+        status: The HTTP status of the answer; 0 unless a back end set it.
+        late: Whether the request failed because its due time passed.
+        headers: The HTTP headers of the answer.
     """
 
     class_index: int
@@ -54,19 +62,39 @@
     body: bytes
     retry_after_ms: float
     expires_at: float
+    status: int = 0
+    late: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def key_outcomes(rows: Iterable[KeyRow]) -> list[KeyOutcome]:
     """Return the entries of the file for rows of a request tracker: class and key, answer, expiry time."""
     return [
-        KeyOutcome(class_index, key, answer.kind.value, answer.body, answer.retry_after_ms, expires_at)
+        KeyOutcome(
+            class_index,
+            key,
+            answer.kind.value,
+            answer.body,
+            answer.retry_after_ms,
+            expires_at,
+            answer.status,
+            answer.late,
+            answer.headers,
+        )
         for (class_index, key), answer, expires_at in rows
     ]
 
 
 def answer_of(outcome: KeyOutcome) -> Answer:
     """Return the answer to a retry with this key."""
-    return Answer(AnswerKind(outcome.kind), outcome.body, outcome.retry_after_ms)
+    return Answer(
+        AnswerKind(outcome.kind),
+        outcome.body,
+        outcome.retry_after_ms,
+        late=outcome.late,
+        status=outcome.status,
+        headers=outcome.headers,
+    )
 
 
 class KeysFileEncoder:
@@ -130,7 +158,7 @@
 
 
 def _encode_row(outcome: KeyOutcome) -> bytes:
-    row = [
+    row: list[Any] = [
         outcome.class_index,
         outcome.key,
         outcome.kind,
@@ -138,6 +166,8 @@
         outcome.retry_after_ms,
         outcome.expires_at,
     ]
+    if outcome.status or outcome.late or outcome.headers:
+        row += [outcome.status, outcome.late, outcome.headers]
     return json.dumps(row).encode() + b"\n"
 
 
@@ -170,7 +200,8 @@
 
 def _decode_row(line: bytes, now: float, class_count: int) -> KeyOutcome | None:
     """Return one entry, or None if it has expired. Malformed JSON raises errors that `decode` translates."""
-    class_index, key, kind, body, retry_after, expires_at = json.loads(line)
+    row = json.loads(line)
+    class_index, key, kind, body, retry_after, expires_at = row[:BASE_FIELDS]
     if not _is_known(class_index, key, kind, class_count):
         raise HandoverRejectedError(f"entry with an unknown class, key or kind of answer: {line[:MAX_SHOWN_CHARS]!r}")
     retry_after_ms = float(retry_after)
@@ -179,7 +210,18 @@
         raise HandoverRejectedError(f"entry with an invalid Retry-After or expiry time: {line[-MAX_SHOWN_CHARS:]!r}")
     if expires_at_ms <= now:
         return None
-    return KeyOutcome(class_index, key, kind, base64.b64decode(body, validate=True), retry_after_ms, expires_at_ms)
+    outcome = KeyOutcome(class_index, key, kind, base64.b64decode(body, validate=True), retry_after_ms, expires_at_ms)
+    return outcome if len(row) == BASE_FIELDS else _with_http_fields(outcome, *row[BASE_FIELDS:])
+
+
+def _with_http_fields(outcome: KeyOutcome, status: Any, late: Any, headers: Any) -> KeyOutcome:
+    """Return an entry with the further fields of its row."""
+    if type(status) is not int or not 0 <= status <= MAX_STATUS or type(late) is not bool:
+        raise HandoverRejectedError(f"entry with an invalid status: {str(status)[:MAX_SHOWN_CHARS]}")
+    pairs = tuple((name, value) for name, value in headers)
+    if not all(isinstance(text, str) for pair in pairs for text in pair):
+        raise HandoverRejectedError("entry with an invalid header")
+    return replace(outcome, status=status, late=late, headers=pairs)
 
 
 def _is_known(class_index: Any, key: Any, kind: Any, class_count: int) -> bool:
--- a/myrtlespar/state_machines/idempotency_keys.py
+++ b/myrtlespar/state_machines/idempotency_keys.py
@@ -222,7 +222,7 @@
             self._remove_entry(key_id)
         else:
             # Long results are not cached, to bound memory; a late retry of such a request fails.
-            entry.outcome = answer if len(answer.body) <= self.max_result_bytes else Answer(AnswerKind.FAILED)
+            entry.outcome = answer if answer.may_be_kept(self.max_result_bytes) else Answer(AnswerKind.FAILED)
             self.expiry.append((now + self.key_ms, key_id))
         return followers
 
--- a/tests/test_handover_file.py
+++ b/tests/test_handover_file.py
@@ -12,12 +12,13 @@
 
 import pytest
 
-from myrtlespar.exchange import Answer, AnswerKind
+from myrtlespar.exchange import CHARS_PER_HEADER, MAX_KEPT_HEADER_CHARS, Answer, AnswerKind
 from myrtlespar.fakes import ThriftClient, server_process, until
 from myrtlespar.handover.folder import HandoverFolder
 from myrtlespar.handover.keys_file import (
     HandoverRejectedError,
     KeyOutcome,
+    answer_of,
     decode,
     encode,
     key_outcomes,
@@ -47,9 +48,59 @@
         decode(data, 1000.0, 2)
 
 
+# Of the greatest length that is kept, with characters that JSON writes as six bytes.
+LONGEST_HEADERS = (("\x00" * 1000, "\x01" * (MAX_KEPT_HEADER_CHARS - 1000 - CHARS_PER_HEADER)),)
+
+
+def test_an_answer_with_longer_headers_is_not_kept() -> None:
+    name, value = LONGEST_HEADERS[0]
+    assert not Answer(AnswerKind.SERVED, headers=((name, value + "x"),)).may_be_kept(4096)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        Answer(AnswerKind.SERVED, b"no", status=409, headers=(("Location", "/a"), ("Set-Cookie", "k=\xe4"))),
+        Answer(AnswerKind.SERVED, status=204),
+        Answer(AnswerKind.FAILED, b"broken", status=503, headers=(("Retry-After", "7"),)),
+        Answer(AnswerKind.FAILED, late=True),
+        Answer(AnswerKind.REFUSED, retry_after_ms=250.0),
+        Answer(AnswerKind.SERVED, b"result"),
+    ],
+)
+def test_an_answer_is_the_same_after_a_handover(answer: Answer) -> None:
+    """Guards against a file that holds a part of the answer: a declined order was answered as done."""
+    [outcome] = decode(encode(key_outcomes([((1, "k"), answer, 5000.0)])), 1000.0, 3)
+    assert answer_of(outcome) == answer
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        '409, false, [["a"]]',
+        '409, false, [["a", 1]]',
+        "409, false, 1",
+        "409, false, null",
+        "409, 0, []",
+        "true, false, []",
+        "-1, false, []",
+        "1000, false, []",
+        '"409", false, []',
+        "409, false",
+        "409, false, [], 1",
+    ],
+)
+def test_a_row_with_malformed_further_fields_is_rejected(fields: str) -> None:
+    row = f'[1, "k", "served", "", 0.0, 5000.0, {fields}]\n'.encode()
+    with pytest.raises(HandoverRejectedError):
+        decode(b"myrtlespar-keys 1 %08x %d\n" % (zlib.crc32(row), len(row)) + row, 1000.0, 3)
+
+
 def test_the_longest_file_of_a_full_table_is_not_too_long_for_the_replacement() -> None:
     """Guards against a fixed limit of length: a replacement refused the file of a larger table."""
-    outcomes = [KeyOutcome(9, "\x00" * 200, "refused", b"\xff" * 4096, 1e9 / 3, 2e13 / 3) for _ in range(50)]
+    longest = Answer(AnswerKind.REFUSED, b"\xff" * 4096, 1e9 / 3, late=True, status=999, headers=LONGEST_HEADERS)
+    assert longest.may_be_kept(4096)
+    outcomes = key_outcomes(((9, "\x00" * 200), longest, 2e13 / 3) for _ in range(50))
     assert len(encode(outcomes)) <= max_file_bytes(len(outcomes), 4096)
 
 
