The memory of connections, open requests and unsent answers is divided and bounded

Cause: connections, keys and unsent answers were together given more than the memory, and nothing bounded open requests and heads. Change: one division of the memory; the tracker counts the memory of its attempts and rejects what doesn't fit, and fails a repeat that may have run; at most 100 headers and attributes; heads are freed with the answer; short read-ahead.

--- a/myrtlespar/config/sizing.py
+++ b/myrtlespar/config/sizing.py
@@ -14,12 +14,17 @@
 RESERVED_DESCRIPTORS = 48  # descriptors for upstream connections, listeners, log and event loop
 DESCRIPTORS_PER_DEPENDENCY_CONNECTION = 12  # one connection to the dependency is allowed for this many
 
-BASE_MEMORY_MB = 22.0  # memory of the process with a few connections
-CONNECTION_MEMORY_KB = 24.0  # memory of one more connection: its greenlet and a partial message
+BASE_MEMORY_MB = 36.0  # memory of the process with a few connections
+CONNECTION_MEMORY_KB = 32.0  # memory of one more connection: its greenlet and a partial message
 IDEMPOTENCY_KEY_MEMORY_KB = 6.0  # memory of one key with a result of 4 KiB
-IDEMPOTENCY_KEYS_MEMORY_FRACTION = 0.25  # fraction of the memory beyond the base, for idempotency keys
-OUTBOX_MEMORY_FRACTION = 0.25  # fraction of the memory beyond the base, for answers that clients have not read
-MIN_TOTAL_OUTBOX_BYTES = 1 << 20
+# Fractions of the memory beyond the base.
+IDEMPOTENCY_KEYS_MEMORY_FRACTION = 0.25  # for idempotency keys, if there are classes with keys
+CONNECTIONS_MEMORY_FRACTION = 0.4
+REQUESTS_MEMORY_FRACTION = 0.2  # for open requests
+OUTBOX_MEMORY_FRACTION = 0.15  # for answers that clients have not read
+MIN_TOTAL_OUTBOX_BYTES = 1 << 19
+MIN_REQUEST_BYTES = 1 << 19
+MIN_SPARE_FRACTION = 0.125  # of the whole memory, which is divided however little there is
 
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 192
@@ -40,7 +45,8 @@
     """
     resources = root.table("limits")
     descriptors = _descriptors(resources)
-    spare_memory_kb = 1024 * (resources.number("memory_mb", DEFAULT_MEMORY_MB, 1, MAX_RESOURCE) - BASE_MEMORY_MB)
+    memory_mb = resources.number("memory_mb", DEFAULT_MEMORY_MB, 1, MAX_RESOURCE)
+    spare_memory_kb = 1024 * max(MIN_SPARE_FRACTION * memory_mb, memory_mb - BASE_MEMORY_MB)
     windows_ms = [
         request_class.window_ms for request_class in settings.classes if request_class.effect is api.Effect.KEYED
     ]
@@ -51,11 +57,12 @@
     )
     reserved = min(RESERVED_DESCRIPTORS, descriptors * 3 // 4)
     by_descriptors = descriptors - reserved - dependency_connections
-    by_memory = int((spare_memory_kb - keys_memory_kb) / CONNECTION_MEMORY_KB)
+    by_memory = int(spare_memory_kb * CONNECTIONS_MEMORY_FRACTION / CONNECTION_MEMORY_KB)
     limits = replace(
         ResourceLimits(),
         max_dependency_connections=dependency_connections,
         max_connections=max(MIN_CONNECTIONS, min(by_descriptors, by_memory)),
+        max_request_bytes=max(MIN_REQUEST_BYTES, int(1024 * spare_memory_kb * REQUESTS_MEMORY_FRACTION)),
         max_total_outbox_bytes=max(MIN_TOTAL_OUTBOX_BYTES, int(1024 * spare_memory_kb * OUTBOX_MEMORY_FRACTION)),
         stop_ms=root.number("stop_ms", DEFAULT_STOP_MS, 0, MAX_STOP_MS),
     )
--- a/myrtlespar/exchange.py
+++ b/myrtlespar/exchange.py
@@ -10,6 +10,10 @@
 CHARS_PER_HEADER = 8  # beside the name and the value
 
 
+OPEN_REQUEST_BYTES = 2048  # memory of an open request in all components, without its content
+HEADER_BYTES = 256  # memory of one header, without its text
+
+
 class AnswerKind(enum.Enum):
     """The three kinds of final answers. The values appear in counter names and in the hand-over file."""
 
@@ -109,3 +113,8 @@
         self.headers: tuple[tuple[str, str], ...] = ()
         self.call_body = b""  # body of the latest dependency call that the run requested
         self.state = 0  # an AttemptState
+
+    def memory_bytes(self) -> int:
+        """Return about how much memory this process uses for the request while it is open; constant after a submit."""
+        header_bytes = sum(HEADER_BYTES + len(name) + len(value) for name, value in self.headers)
+        return OPEN_REQUEST_BYTES + len(self.body) + header_bytes
--- a/myrtlespar/net/ajp_front.py
+++ b/myrtlespar/net/ajp_front.py
@@ -149,7 +149,7 @@
         self._handle_event(ConnectionEvent.BEGIN)
         self._request = codec.ForwardRequest()
         with gevent.Timeout(self.limits.ajp_request_timeout_ms / 1000.0):
-            self._request = codec.decode_forward_request(payload)
+            self._request = codec.decode_forward_request(payload, self.limits.max_ajp_headers)
             rule = self._find_allowed_rule()
             body = self._read_body() if rule is not None else None
         if rule is not None and body is not None and self._accepts_requests():
@@ -252,6 +252,7 @@
             data = b"".join(codec.encode_reply(status, (), b"", reuse, max_bytes))
         self.coordinator.counters.add(f"sent.{status}.ajp")
         self.outbox.put(data)
+        self._request = codec.ForwardRequest()  # frees the headers
         self._handle_event(ConnectionEvent.LAST_ANSWERED if request_complete else ConnectionEvent.TURNED_AWAY)
         if not reuse:
             self._handle_event(ConnectionEvent.CLOSE)
--- a/myrtlespar/net/ajp_requests.py
+++ b/myrtlespar/net/ajp_requests.py
@@ -42,7 +42,8 @@
     exchange.method = request.method
     exchange.uri = request.uri
     exchange.query = request_query(request)
-    exchange.headers = tuple(row for row in request.headers if row[0] not in HOP_BY_HOP_HEADERS)
+    if rule.target:  # the execution engine gets no headers
+        exchange.headers = tuple(row for row in request.headers if row[0] not in HOP_BY_HOP_HEADERS)
     exchange.route = session_route(request)
     if key_header:
         exchange.key = operator_key(request.header(key_header).encode("latin-1"))
--- a/myrtlespar/net/codec/ajp.py
+++ b/myrtlespar/net/codec/ajp.py
@@ -64,6 +64,7 @@
 NAMED_ATTRIBUTE = 10
 KEY_SIZE_ATTRIBUTE = 11
 LAST_ATTRIBUTE = 0xFF
+DEFAULT_MAX_FIELDS = 100  # headers of one request, and as many attributes
 BODY_CHUNK_OVERHEAD_BYTES = 6  # packet header and chunk length
 REPLY_CHUNK_OVERHEAD_BYTES = 8  # packet header, message type, chunk length and terminating zero byte
 REASON_PHRASES = {
@@ -101,11 +102,12 @@
         return next((value for key, value in self.headers if key == name), "")
 
 
-def decode_forward_request(payload: bytes) -> ForwardRequest:
+def decode_forward_request(payload: bytes, max_fields: int = DEFAULT_MAX_FIELDS) -> ForwardRequest:
     """Return the request in a Forward Request payload.
 
     Raises:
-        MalformedPacketError: The payload is not a valid Forward Request.
+        MalformedPacketError: The payload is not a valid Forward Request, or has over `max_fields` headers or
+            attributes; short ones would take many times the memory of the packet.
     """
     reader = PayloadReader(payload)
     if reader.byte() != FORWARD:
@@ -121,15 +123,20 @@
     request.server_name = reader.text()
     request.port = reader.number()
     request.ssl = bool(reader.byte())
-    request.headers = tuple(reader.header(REQUEST_HEADERS) for _ in range(reader.number()))
-    _decode_attributes(reader, request.attributes)
+    header_count = reader.number()
+    if header_count > max_fields:
+        raise MalformedPacketError(f"{header_count} headers")
+    request.headers = tuple(reader.header(REQUEST_HEADERS) for _ in range(header_count))
+    _decode_attributes(reader, request.attributes, max_fields)
     if method_code == STORED_METHOD:
         request.method = request.attributes.get("stored_method", "")
     return request
 
 
-def _decode_attributes(reader: PayloadReader, attributes: dict[str, str]) -> None:
+def _decode_attributes(reader: PayloadReader, attributes: dict[str, str], max_fields: int) -> None:
     while (code := reader.byte()) != LAST_ATTRIBUTE:
+        if len(attributes) >= max_fields:
+            raise MalformedPacketError("too many attributes")
         if code == KEY_SIZE_ATTRIBUTE:
             reader.number()
         elif code == NAMED_ATTRIBUTE:
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -93,7 +93,8 @@
         self.name = name
         self.coordinator = coordinator
         self.connections: set[ConnectionType] = set()
-        self.outbox_budget = OutboxBudget(limits.max_total_outbox_bytes)
+        share = max_connections / limits.max_connections
+        self.outbox_budget = OutboxBudget(int(limits.max_total_outbox_bytes * share))
         self.idle_timeout_ms = 0.0
         self._max_connections = max_connections
         self._open_connection = open_connection
--- a/myrtlespar/net/socket_reader.py
+++ b/myrtlespar/net/socket_reader.py
@@ -11,6 +11,7 @@
 from myrtlespar.net.connections import TRANSIENT_ERROR_PAUSE_S, TRANSIENT_ERRORS
 
 MAX_READ_BYTES = 16384  # of one recv call
+MAX_READ_AHEAD_BYTES = 4096  # of one recv call beyond the bytes that are waited for
 MAX_READS_PER_TURN = 16  # before other greenlets run
 MAX_LINES_PER_TURN = 64  # before other greenlets run
 
@@ -58,7 +59,7 @@
             ConnectionEndedError: The connection ended first.
         """
         while len(self._data) < size:
-            self._fill()
+            self._fill(size - len(self._data) + MAX_READ_AHEAD_BYTES)
         return bytes(self._data[:size])
 
     def read_line(self) -> bytes:
@@ -106,17 +107,17 @@
         if self._data:
             gevent.sleep(0)
 
-    def _fill(self) -> None:
+    def _fill(self, max_bytes: int = MAX_READ_BYTES) -> None:
         try:
-            data = self._receive()
+            data = self._receive(max_bytes)
         except OSError as error:
             raise ConnectionEndedError(str(error)) from None
         if not data:
             raise PeerFinishedSendingError("end of stream")
         self._data += data
 
-    def _receive(self) -> bytes:
-        """Wait for data and return it; empty at the end of the connection.
+    def _receive(self, max_bytes: int = MAX_READ_BYTES) -> bytes:
+        """Wait for data and return at most `max_bytes` of it; empty at the end of the connection.
 
         Retries while the system is temporarily short of buffers.
         """
@@ -126,7 +127,7 @@
             gevent.sleep(0)
         while True:
             try:
-                return bytes(self._sock.recv(MAX_READ_BYTES))
+                return bytes(self._sock.recv(min(max_bytes, MAX_READ_BYTES)))
             except OSError as error:
                 if error.errno not in TRANSIENT_ERRORS:
                     raise
--- a/myrtlespar/request_coordinator.py
+++ b/myrtlespar/request_coordinator.py
@@ -117,9 +117,12 @@
 
     def submit(self, exchange: Exchange) -> bool:
         """Accept a complete request. Returns False, with no effect, if its id is in use."""
+        has_memory = self.tracker.has_memory_for(exchange)
         effects = self.tracker.submit(exchange)
         if effects is None:
             return False
+        if not has_memory:
+            self.counters.add(f"in.no_memory.{exchange.front}")
         self.counters.add(f"in.request.{exchange.front}")
         if exchange.state != STATE_HELD:
             self.counters.add(f"in.repeat.{exchange.front}")
@@ -308,6 +311,7 @@
         [request_class.effect is not api.Effect.SAFE for request_class in settings.classes],
         limits.overdue_grace_ms,
         settings.max_retry_after_ms or DEFAULT_RETRY_AFTER_MS,
+        limits.max_request_bytes,
     )
     keys = IdempotencyKeyTable(
         limits.max_idempotency_keys,
--- a/myrtlespar/resource_limits.py
+++ b/myrtlespar/resource_limits.py
@@ -36,11 +36,12 @@
     accept_backlog: int = 512  # length of the queue of connections not yet accepted
     max_accepts_per_turn: int = 8  # connections accepted before other greenlets run
     max_open_requests: int = 32  # unanswered requests of one connection
+    max_request_bytes: int = 1 << 25  # memory of all open requests
     max_frame_bytes: int = 16384  # of one message from a client; a longer one closes the connection
     max_body_bytes: int = 2048  # of a request
     max_result_bytes: int = 4096  # of an answer
     max_outbox_bytes: int = 65536  # unsent answers of one connection; at more, the client is taken not to read
-    max_total_outbox_bytes: int = 1 << 24  # unsent answers of all connections of one listener
+    max_total_outbox_bytes: int = 1 << 24  # unsent answers of all connections of all listeners
     send_buffer_bytes: int = 131072  # kernel send buffer of one connection
     send_timeout_ms: float = 5000.0  # longest time for which a peer may block one send
     max_consecutive_rejected: int = 500  # rejected messages in a row, after which the connection is closed
@@ -94,6 +95,7 @@
 
     # AJP: connections from gateways, and connections to AJP servers.
     max_ajp_packet_bytes: int = 8192
+    max_ajp_headers: int = 100  # of one request; as many attributes
     max_ajp_outbox_bytes: int = 1 << 19  # unsent bytes of one gateway's connection: fits a complete backend answer
     ajp_request_timeout_ms: float = 2000.0  # from the first to the last byte of a request
     max_ajp_reply_bytes: int = 262144  # of the answer of an AJP server
--- a/myrtlespar/state_machines/request_effects.py
+++ b/myrtlespar/state_machines/request_effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -46,3 +47,4 @@
     effectful: Sequence[bool]  # by request class: whether a request must not run twice
     overdue_ms: float  # how long after its due time an attempt fails, whatever the policy decided
     retry_after_ms: float  # Retry-After when the key table is full or a start is too late
+    max_request_bytes: float = math.inf  # memory of all open requests in this process
--- a/myrtlespar/state_machines/request_tracker.py
+++ b/myrtlespar/state_machines/request_tracker.py
@@ -78,6 +78,7 @@
         self.process = process
         self.requests: dict[str, Exchange] = {}  # by request id
         self.unanswered = 0  # attempts that await their final answer
+        self.request_bytes = 0  # about the memory that the attempts in `requests` take in this process
 
     def find(self, request_id: str) -> Exchange | None:
         """Return the attempt with this id, or None if it is over."""
@@ -88,16 +89,28 @@
         exchange = self.requests.get(request_id)
         return exchange is not None and exchange.state in AWAITING_ANSWER
 
+    def has_memory_for(self, exchange: Exchange) -> bool:
+        """Return whether one more attempt fits the memory for open requests."""
+        return self.request_bytes + exchange.memory_bytes() <= self.settings.max_request_bytes
+
     # Events from the network side.
 
     def submit(self, exchange: Exchange) -> list[RequestEffect] | None:
-        """Accept a complete request. Returns None, with no effect, if its id is in use."""
+        """Accept a complete request, or reject it if there is no memory for it.
+
+        A repeat that may have run fails instead. Returns None, with no effect, if the id is in use.
+        """
         if exchange.id in self.requests:
             return None
         exchange.due_at = exchange.arrived_at + self.settings.client_timeout_ms[exchange.class_index]
         exchange.state = STATE_READ
+        has_memory = self.has_memory_for(exchange)
         self.requests[exchange.id] = exchange
+        self.request_bytes += exchange.memory_bytes()
         self.unanswered += 1
+        if not has_memory:
+            answer = FAILED if exchange.key and exchange.may_have_run else self.rejection()
+            return self._step(exchange, EVENT_KNOWN, EventDetails(answer))
         if not exchange.key or not self.settings.effectful[exchange.class_index]:
             return self._step(exchange, EVENT_ADMIT)
         key_action, outcome = self.keys.register(exchange)
@@ -287,6 +300,7 @@
         """Carry out an action of the tracker itself, and append the effects for the coordinator to `effects`."""
         if action is ACTION_LEAVE:
             del self.requests[exchange.id]
+            self.request_bytes -= exchange.memory_bytes()
         elif action is ACTION_WITHDRAW:
             self.unanswered -= 1
         elif action is ACTION_DELIVER_FAILED:
