Requests that are unread when their client resets the connection are dropped

Cause: data that arrived before a reset can still be read, and the fronts handled it before they came to the end of the connection. Change: a look for a reset before each message, and while a half-closed connection waits for its answers.

--- a/myrtlespar/net/ajp_front.py
+++ b/myrtlespar/net/ajp_front.py
@@ -96,6 +96,9 @@
                 if not self._accepts_requests():  # the packet arrived while this side was closing
                     self.coordinator.counters.add("in.behind_close.ajp")
                     break
+                if self.reader.is_reset():  # nobody waits for the answer
+                    self.coordinator.counters.add("in.behind_reset.ajp")
+                    break
                 rejected_before = self.consecutive_rejected
                 self._handle_packet(packet)
                 if self.consecutive_rejected == rejected_before:
@@ -152,7 +155,7 @@
             self._request = codec.decode_forward_request(payload, self.limits.max_ajp_headers)
             rule = self._find_allowed_rule()
             body = self._read_body() if rule is not None else None
-        if rule is not None and body is not None and self._accepts_requests():
+        if rule is not None and body is not None and self._accepts_requests() and not self.reader.is_reset():
             self._submit(rule, body)
 
     def _find_allowed_rule(self) -> PathRule | None:
--- a/myrtlespar/net/listener.py
+++ b/myrtlespar/net/listener.py
@@ -159,7 +159,7 @@
 
     def finish_answers(self, connection: ClientConnection) -> None:
         """Block until all requests of a connection that is no longer read are answered and the answers sent."""
-        while connection.has_open_requests() and not connection.outbox.closed:
+        while connection.has_open_requests() and not connection.outbox.closed and not connection.reader.is_reset():
             gevent.sleep(ANSWERED_CHECK_S)
         connection.outbox.finish()
         connection.outbox.wait_sent(self.coordinator.limits.send_timeout_ms / 1000.0)
--- a/myrtlespar/net/socket_reader.py
+++ b/myrtlespar/net/socket_reader.py
@@ -98,6 +98,13 @@
         """Return whether data, or the connection's end, waits in the socket."""
         return bool(self._poll.poll(0))
 
+    def is_reset(self) -> bool:
+        """Return whether the peer has reset the connection, so that it reads no answer; a finished sending is no reset.
+
+        Data that arrived before the reset can still be read.
+        """
+        return any(events & (select.POLLERR | select.POLLHUP) for _, events in self._poll.poll(0))
+
     def has_buffered(self) -> bool:
         """Return whether bytes were received from the socket that no read has returned yet."""
         return bool(self._data)
--- a/myrtlespar/net/thrift_front.py
+++ b/myrtlespar/net/thrift_front.py
@@ -96,6 +96,9 @@
                 if not self._accepts_requests():  # the frame arrived while this side was closing
                     self.coordinator.counters.add("in.behind_close.thrift")
                     break
+                if self.reader.is_reset():  # nobody waits for the answer
+                    self.coordinator.counters.add("in.behind_reset.thrift")
+                    break
                 rejected_before = self.consecutive_rejected
                 self._handle_frame(frame)
                 if self.consecutive_rejected == rejected_before:
