An effectful id that comes again after its client left does not run again

Cause: the tracker knew only the ids of open attempts, and no process those of the other. Change: started ids are remembered, and shared in $TMPDIR before the start is sent; without a key such an attempt fails, with one it counts as one that may have run.

--- a/myrtlespar/handover/folder.py
+++ b/myrtlespar/handover/folder.py
@@ -1,9 +1,9 @@
 """The storage of a hand-over: the folder (`$TMPDIR`) that two processes of one server share.
 
 It contains a lock file that the running process locks, a second one that a replacement locks for as long as it waits
-for the first, and the file of keys that an old process writes for its replacement; `reservation_file` has two more.
-Every method except `remove_keys`, `withdraw` and `replacement_status` may raise OSError: the folder can be missing or
-full, or contain something else under these names.
+for the first, and the file of keys that an old process writes for its replacement; `reservation_file` and
+`started_ids_file` have more. Every method except `remove_keys`, `withdraw` and `replacement_status` may raise OSError:
+the folder can be missing or full, or contain something else under these names.
 """
 
 from __future__ import annotations
@@ -53,6 +53,7 @@
         self.replacement_path = Path(tmpdir) / f"{base}.replacement"
         self.keys_path = Path(tmpdir) / f"{base}.keys"
         self.reservation_path = Path(tmpdir) / f"{base}.capacity"
+        self.started_ids_path = Path(tmpdir) / f"{base}.ids"
         self.sharing_path = Path(tmpdir) / f"{base}.sharing"
         self._max_keys_bytes = max_keys_bytes
         self._lock_descriptor = NO_DESCRIPTOR
--- a/myrtlespar/server/application.py
+++ b/myrtlespar/server/application.py
@@ -16,6 +16,7 @@
 from myrtlespar.handover.driver import KeyHandover
 from myrtlespar.handover.folder import DEFAULT_MAX_KEYS_BYTES, HandoverFolder, ReplacementStatus
 from myrtlespar.handover.keys_file import max_file_bytes
+from myrtlespar.handover.started_ids_file import StartedIdsFile
 from myrtlespar.net.admin_server import AdminServer
 from myrtlespar.net.ajp_backends import create_backend_pools
 from myrtlespar.net.ajp_front import AjpFront
@@ -66,6 +67,7 @@
         self._handover_folder = self._open_handover_folder()
         if self._handover_folder is not None:  # before the admin server, which tells that this process is ready
             CapacitySharing(self.coordinator, self._handover_folder).start()
+            self._share_started_ids(self._handover_folder)
         self.admin_server = self._start_admin_server(shutdown_requested)
         # After everything else that can fail: reading the keys removes their file, so a later failure would lose them.
         self.key_handover = self._start_key_handover()
@@ -157,6 +159,13 @@
         )
         return HandoverFolder(self.config.tmpdir, self.config.name, max_keys_bytes)
 
+    def _share_started_ids(self, folder: HandoverFolder) -> None:
+        """Record the ids of started requests where the other process of a replacement finds them."""
+        tracker = self.coordinator.tracker
+        tracker.started_ids.log = StartedIdsFile(
+            folder, self.counters, lambda: folder.holds_lock and not tracker.keys.keeps_expired
+        )
+
     def _start_admin_server(self, shutdown_requested: Callable[[], bool]) -> AdminServer | None:
         """Listen on the operators' address, if one is configured."""
         if self.config.mgmt is None:
--- a/myrtlespar/state_machines/request_tracker.py
+++ b/myrtlespar/state_machines/request_tracker.py
@@ -27,6 +27,7 @@
     RequestEffect,
     RequestTrackerSettings,
 )
+from myrtlespar.state_machines.started_ids import StartedIds
 
 # Bound once at import: looking up an enum member in its class costs as much as a transition.
 ACTION_DELIVER = AttemptAction.DELIVER
@@ -59,9 +60,12 @@
 KEY_TURN_AWAY = KeyAction.TURN_AWAY
 STATE_AT_CALL_UNWANTED = AttemptState.AT_CALL_UNWANTED
 STATE_FOLLOWING = AttemptState.FOLLOWING
+STATE_HELD = AttemptState.HELD
 STATE_READ = AttemptState.READ
 STATE_RUNNING_UNWANTED = AttemptState.RUNNING_UNWANTED
 STATES_ON_CORES = (AttemptState.RUNNING, AttemptState.RUNNING_UNWANTED)
+MAX_STARTED_IDS = 4096
+STARTED_ID_TIMEOUTS = 2  # for how many of the longest client timeouts a started id is remembered
 _new_tuple = tuple.__new__  # faster than the constructor of a named tuple, which fills in defaults
 
 
@@ -78,6 +82,7 @@
         self.process = process
         self.requests: dict[str, Exchange] = {}  # by request id
         self.unanswered = 0  # attempts that await their final answer
+        self.started_ids = StartedIds(MAX_STARTED_IDS, STARTED_ID_TIMEOUTS * max(settings.client_timeout_ms))
         self.request_bytes = 0  # about the memory that the attempts in `requests` take in this process
 
     def find(self, request_id: str) -> Exchange | None:
@@ -111,8 +116,15 @@
         if not has_memory:
             answer = FAILED if exchange.key and exchange.may_have_run else self.rejection()
             return self._step(exchange, EVENT_KNOWN, EventDetails(answer))
-        if not exchange.key or not self.settings.effectful[exchange.class_index]:
+        if not self.settings.effectful[exchange.class_index]:
             return self._step(exchange, EVENT_ADMIT)
+        # A client whose connection ended may send the same attempt again, without a mark.
+        has_started = self.started_ids.contains(exchange.id, exchange.arrived_at)
+        if not exchange.key:
+            if has_started:
+                return self._step(exchange, EVENT_KNOWN, EventDetails(FAILED))
+            return self._step(exchange, EVENT_ADMIT)
+        exchange.may_have_run = exchange.may_have_run or has_started
         key_action, outcome = self.keys.register(exchange)
         if key_action is KEY_OWN:
             return self._step(exchange, EVENT_ADMIT)
@@ -244,6 +256,8 @@
             return []
         if not self.process.may_start(exchange.arrived_at):
             return self._step(exchange, EVENT_BAR, EventDetails(self.rejection(), RunOutcome.MOOT), now)
+        if exchange.state == STATE_HELD and self.settings.effectful[exchange.class_index]:
+            self.started_ids.add(exchange.id, now)
         return self._step(exchange, EVENT_START)
 
     def reject(self, request_id: str, answer: Answer, now: float) -> list[RequestEffect]:
