The reader's receive method takes no argument, as a test that replaces it expects

Change: the number is an attribute of the reader; the test is as it was. Measured: it passes, with the files on floods and on clients that left.

--- a/myrtlespar/net/socket_reader.py
+++ b/myrtlespar/net/socket_reader.py
@@ -35,6 +35,7 @@
         self._sock = sock
         self._max_line_bytes = max_line_bytes
         self._data = bytearray()
+        self._max_read_bytes = MAX_READ_BYTES  # of the next recv call
         self._reads_in_turn = 0
         self._lines_in_turn = 0
         self._poll = select.poll()
@@ -59,7 +60,8 @@
             ConnectionEndedError: The connection ended first.
         """
         while len(self._data) < size:
-            self._fill(size - len(self._data) + MAX_READ_AHEAD_BYTES)
+            self._max_read_bytes = min(MAX_READ_BYTES, size - len(self._data) + MAX_READ_AHEAD_BYTES)
+            self._fill()
         return bytes(self._data[:size])
 
     def read_line(self) -> bytes:
@@ -114,17 +116,17 @@
         if self._data:
             gevent.sleep(0)
 
-    def _fill(self, max_bytes: int = MAX_READ_BYTES) -> None:
+    def _fill(self) -> None:
         try:
-            data = self._receive(max_bytes)
+            data = self._receive()
         except OSError as error:
             raise ConnectionEndedError(str(error)) from None
         if not data:
             raise PeerFinishedSendingError("end of stream")
         self._data += data
 
-    def _receive(self, max_bytes: int = MAX_READ_BYTES) -> bytes:
-        """Wait for data and return at most `max_bytes` of it; empty at the end of the connection.
+    def _receive(self) -> bytes:
+        """Wait for data and return it; empty at the end of the connection.
 
         Retries while the system is temporarily short of buffers.
         """
@@ -134,7 +136,7 @@
             gevent.sleep(0)
         while True:
             try:
-                return bytes(self._sock.recv(min(max_bytes, MAX_READ_BYTES)))
+                return bytes(self._sock.recv(self._max_read_bytes))
             except OSError as error:
                 if error.errno not in TRANSIENT_ERRORS:
                     raise
