Locks of a hand-over are looked at in one place; assignments without effect removed

Need: the question whether another process holds a lock stood three times; a result that nobody read, a key that was set twice and an AJP request that was cleared twice were left over; parameters hid the names round them. Change: is_locked serves all three; the rest is removed or renamed. No behaviour.

--- a/myrtlespar/exchange.py
+++ b/myrtlespar/exchange.py
@@ -8,8 +8,6 @@
 
 MAX_KEPT_HEADER_CHARS = 2048  # of the headers of an answer that is cached for repeats
 CHARS_PER_HEADER = 8  # beside the name and the value
-
-
 OPEN_REQUEST_BYTES = 2048  # memory of an open request in all components, without its content
 HEADER_BYTES = 256  # memory of one header, without its text
 
--- a/myrtlespar/handover/file_lock.py
+++ b/myrtlespar/handover/file_lock.py
@@ -25,3 +25,12 @@
         os.close(descriptor)
         raise
     return descriptor
+
+
+def is_locked(path: Path, kind: int) -> bool:
+    """Return whether another process holds a lock on the file that excludes one of this kind."""
+    descriptor = lock_file(path, kind)
+    if descriptor == NO_DESCRIPTOR:
+        return True
+    os.close(descriptor)
+    return False
--- a/myrtlespar/handover/folder.py
+++ b/myrtlespar/handover/folder.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from urllib.parse import quote
 
-from myrtlespar.handover.file_lock import NO_DESCRIPTOR, lock_file
+from myrtlespar.handover.file_lock import NO_DESCRIPTOR, is_locked, lock_file
 from myrtlespar.handover.keys_writer import KeysFileWriter
 
 DEFAULT_MAX_KEYS_BYTES = 1 << 25
@@ -84,13 +84,10 @@
     def replacement_status(self) -> ReplacementStatus:
         """Return whether another process has announced itself."""
         try:
-            descriptor = lock_file(self.replacement_path, fcntl.LOCK_EX)
+            is_announced = is_locked(self.replacement_path, fcntl.LOCK_EX)
         except OSError:
             return ReplacementStatus.UNKNOWN
-        if descriptor == NO_DESCRIPTOR:
-            return ReplacementStatus.PRESENT
-        os.close(descriptor)
-        return ReplacementStatus.ABSENT
+        return ReplacementStatus.PRESENT if is_announced else ReplacementStatus.ABSENT
 
     def read_keys(self) -> bytes | None:
         """Return the content of the keys file, or None if there is none.
--- a/myrtlespar/handover/reservation_file.py
+++ b/myrtlespar/handover/reservation_file.py
@@ -14,7 +14,7 @@
 import zlib
 from dataclasses import astuple, dataclass
 
-from myrtlespar.handover.file_lock import NO_DESCRIPTOR, lock_file
+from myrtlespar.handover.file_lock import NO_DESCRIPTOR, is_locked, lock_file
 from myrtlespar.handover.folder import HandoverFolder
 from myrtlespar.policy.server_share import ServerShare
 
@@ -85,25 +85,16 @@
 
     def is_sharing_requested(self) -> bool:
         """Return whether a replacement waits for the end of this process."""
-        descriptor = lock_file(self._sharing_path, fcntl.LOCK_EX)
-        if descriptor == NO_DESCRIPTOR:
-            return True
-        os.close(descriptor)
-        return False
-
-    def request_sharing(self) -> bool:
-        """Announce this process as a replacement. Returns False if that has to be tried again."""
+        return is_locked(self._sharing_path, fcntl.LOCK_EX)
+
+    def request_sharing(self) -> None:
+        """Announce this process as a replacement; while the running process looks, that has to be tried again."""
         if self._sharing_descriptor == NO_DESCRIPTOR:
             self._sharing_descriptor = lock_file(self._sharing_path, fcntl.LOCK_SH)
-        return self._sharing_descriptor != NO_DESCRIPTOR
 
     def has_writer(self) -> bool:
         """Return whether a process writes the file; one of an earlier release of this program doesn't."""
-        descriptor = lock_file(self._path, fcntl.LOCK_SH)
-        if descriptor == NO_DESCRIPTOR:
-            return True
-        os.close(descriptor)
-        return False
+        return is_locked(self._path, fcntl.LOCK_SH)
 
     def read(self) -> Reservation | None:
         """Return what the writer holds; None if the file can't be read just now."""
--- a/myrtlespar/net/ajp_front.py
+++ b/myrtlespar/net/ajp_front.py
@@ -150,7 +150,6 @@
 
     def _handle_request(self, payload: bytes) -> None:
         self._handle_event(ConnectionEvent.BEGIN)
-        self._request = codec.ForwardRequest()
         with gevent.Timeout(self.limits.ajp_request_timeout_ms / 1000.0):
             self._request = codec.decode_forward_request(payload, self.limits.max_ajp_headers)
             rule = self._find_allowed_rule()
--- a/myrtlespar/policy/server_share.py
+++ b/myrtlespar/policy/server_share.py
@@ -58,11 +58,11 @@
     in_use = demand.in_use
     expected = demand.expected
 
-    def keep(share: float, capacity: float, in_use: float, expected: float) -> float:
-        wanted = SERVING_FRACTION * capacity
+    def keep(held: float, whole: float, used: float, awaited: float) -> float:
+        wanted = SERVING_FRACTION * whole
         if is_ending:
-            wanted = max(ENDING_FRACTION * capacity, min(wanted, expected))
-        return min(share, max(in_use, wanted))
+            wanted = max(ENDING_FRACTION * whole, min(wanted, awaited))
+        return min(held, max(used, wanted))
 
     return ServerShare(
         keep(share.memory_kb, capacity.memory_kb, in_use.memory_kb, expected.memory_kb),
--- a/myrtlespar/state_machines/idempotency_keys.py
+++ b/myrtlespar/state_machines/idempotency_keys.py
@@ -173,7 +173,6 @@
                 return False
             if other is not None:
                 key_id, other_id = other_id, key_id
-            exchange.key = key_id[1]
             exchange.other_key = other_id[1] if other_id != key_id else ""
             if (entry or other) is not None and other_id != key_id:
                 self._add_other_id(key_id, other_id)
