Started ids are kept by the time of this process and not of the client's stamp

Cause: the ids of the other process were remembered from the arrival that the client states, up to an hour back, and so forgotten at once; an id could run twice. With settings that give callers no time, forgetting the last id raised StopIteration. Change: submit is told the time; the loop ends when nothing is left.

--- a/myrtlespar/request_coordinator.py
+++ b/myrtlespar/request_coordinator.py
@@ -118,7 +118,7 @@
     def submit(self, exchange: Exchange) -> bool:
         """Accept a complete request. Returns False, with no effect, if its id is in use."""
         has_memory = self.tracker.has_memory_for(exchange)
-        effects = self.tracker.submit(exchange)
+        effects = self.tracker.submit(exchange, unix_ms())
         if effects is None:
             return False
         if not has_memory:
--- a/myrtlespar/state_machines/request_tracker.py
+++ b/myrtlespar/state_machines/request_tracker.py
@@ -100,10 +100,11 @@
 
     # Events from the network side.
 
-    def submit(self, exchange: Exchange) -> list[RequestEffect] | None:
+    def submit(self, exchange: Exchange, now: float = 0.0) -> list[RequestEffect] | None:
         """Accept a complete request, or reject it if there is no memory for it.
 
-        A repeat that may have run fails instead. Returns None, with no effect, if the id is in use.
+        A repeat that may have run fails instead. `now` may be left out if the attempt has just arrived; the client says
+        when it arrived. Returns None, with no effect, if the id is in use.
         """
         if exchange.id in self.requests:
             return None
@@ -119,7 +120,7 @@
         if not self.settings.effectful[exchange.class_index]:
             return self._step(exchange, EVENT_ADMIT)
         # A client whose connection ended may send the same attempt again, without a mark.
-        has_started = self.started_ids.contains(exchange.id, exchange.arrived_at)
+        has_started = self.started_ids.contains(exchange.id, max(now, exchange.arrived_at))
         if not exchange.key:
             if has_started:
                 return self._step(exchange, EVENT_KNOWN, EventDetails(FAILED))
--- a/myrtlespar/state_machines/started_ids.py
+++ b/myrtlespar/state_machines/started_ids.py
@@ -48,5 +48,8 @@
     def _remember(self, request_id: str, now: float) -> None:
         self._expires_at.pop(request_id, None)
         self._expires_at[request_id] = now + self._keep_ms
-        while len(self._expires_at) > self._capacity or next(iter(self._expires_at.values())) <= now:
-            del self._expires_at[next(iter(self._expires_at))]
+        while self._expires_at:
+            oldest_id, expires_at = next(iter(self._expires_at.items()))
+            if len(self._expires_at) <= self._capacity and expires_at > now:
+                break
+            del self._expires_at[oldest_id]
